--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -61,6 +61,7 @@
 	Stamp    uint64
 	Accepted time.Time
 	req      packing.Vec
+	prefer   []string // marks of machines that suit it, the weightiest first
 
 	done, stored []uint64 // bit sets of finished tasks, and of those the store has
 	nDone        int
@@ -98,8 +99,10 @@
 	sorted  []*Job
 	resort  bool
 	types   map[string]ledger.MachineType
-	names   []string // machine types, cheapest first
-	spaces  map[string]*packing.Space
+	names   []string                  // machine types, cheapest first
+	spaces  map[string]*packing.Space // the bins of each type
+	opened  time.Time                 // when it was last looked at which machines take tasks
+	now     time.Time                 // of the placing or round under way
 	fleet   *fleet.Table
 	settled bool
 	began   time.Time
@@ -119,7 +122,7 @@
 	return &Core{
 		set: set, term: term, jobs: map[string]*Job{}, types: map[string]ledger.MachineType{},
 		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{},
-		rent: newRentState(),
+		rent: newRentState(), spaces: map[string]*packing.Space{},
 	}
 }
 
@@ -148,10 +151,23 @@
 	c.dirty = true
 }
 
-// fit gives a machine's bin the capacity of its type.
+// fit gives a machine's bin the capacity of its type, and its place among them.
 func (c *Core) fit(m *fleet.Machine) {
-	if t, ok := c.types[m.Type]; ok {
-		m.Bin.Cap = packing.Vec{CPU: t.CPUs, GPU: t.GPUs, Mem: t.MemGB}
+	t, ok := c.types[m.Type]
+	if !ok {
+		return
+	}
+	m.Bin.SetCap(packing.Vec{CPU: t.CPUs, GPU: t.GPUs, Mem: t.MemGB})
+	s := c.spaces[m.Type]
+	if s == nil {
+		s = &packing.Space{Ranked: true, Movable: func(it *packing.Item) bool {
+			a, ok := it.Owner.(*fleet.Attempt)
+			return ok && c.movable(c.jobs[a.Task.Job], a, c.now)
+		}}
+		c.spaces[m.Type] = s
+	}
+	if !s.Has(m.Bin) {
+		s.Add(m.Bin)
 	}
 }
 
@@ -163,8 +179,9 @@
 	words := (rec.Tasks + 63) / 64
 	j := &Job{
 		Job: rec, Stamp: stamp,
-		req:  packing.Vec{CPU: rec.CPUs, GPU: rec.GPUs, Mem: rec.MemGB},
-		done: make([]uint64, words), stored: make([]uint64, words), listed: make([]uint64, words),
+		req:    packing.Vec{CPU: rec.CPUs, GPU: rec.GPUs, Mem: rec.MemGB},
+		prefer: []string{fleet.ImageMark(rec.Image), fleet.SpotMark},
+		done:   make([]uint64, words), stored: make([]uint64, words), listed: make([]uint64, words),
 		dirty: map[int]bool{}, held: map[int]*fleet.Attempt{}, strays: map[int]int{},
 		errorHosts: map[string]bool{},
 	}
@@ -214,16 +231,17 @@
 	}
 	delete(c.jobs, id)
 	c.resort, c.dirty = true, true
-	for _, a := range j.held {
-		c.end(a)
-	}
-	for _, m := range c.fleet.Machines {
-		for _, a := range append([]*fleet.Attempt(nil), m.Attempts()...) {
+	var all []*fleet.Attempt
+	for _, m := range c.fleet.Sorted() {
+		for _, a := range m.Attempts() {
 			if a.Task.Job == id {
-				c.end(a)
+				all = append(all, a)
 			}
 		}
 	}
+	for _, a := range all {
+		c.end(a)
+	}
 }
 
 // end withdraws an attempt whose job is over.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -63,6 +63,7 @@
 		m.EmptySince = time.Time{}
 	}
 	c.dirty = c.dirty || out.Changed
+	m.Bin.SetOpen(c.open(m, now))
 	return m, false
 }
 
@@ -95,8 +96,7 @@
 			a.Reap = true
 		} else {
 			// Its size is unknown: hold the whole machine until it is gone.
-			a.Item = &packing.Item{ID: a.Task.String(), Req: m.Bin.Cap}
-			m.Bin.Add(a.Item)
+			m.Hold(a, &packing.Item{ID: a.Task.String(), Req: m.Bin.Cap})
 			c.stop(a, 0, time.Time{})
 		}
 		return
@@ -105,8 +105,7 @@
 		return
 	}
 	if a.Item == nil {
-		a.Item = &packing.Item{ID: a.Task.String(), Req: j.req}
-		m.Bin.Add(a.Item)
+		m.Hold(a, &packing.Item{ID: a.Task.String(), Req: j.req})
 		m.UseImage(j.Image)
 	}
 	fits := j.held[a.Task.N] == nil && !has(j.done, a.Task.N) &&
@@ -221,6 +220,7 @@
 			if x := c.fleet.Machines[host]; x != nil {
 				delete(x.ErrorJobs, j.ID)
 				x.FullUntil = time.Time{}
+				x.Bin.SetOpen(c.open(x, now))
 			}
 		}
 		clear(j.errorHosts)
@@ -234,6 +234,7 @@
 		slog.Info("machine is faulty", "machine", m.Host, "errors", len(m.ErrorJobs), "term", c.term)
 	}
 	m.Bad, m.Draining = true, true
+	m.Bin.SetOpen(false)
 	c.unplan(m)
 }
 
@@ -337,6 +338,7 @@
 // Expire gives up machines whose lease has ended.
 func (c *Core) Expire(now time.Time) {
 	for _, a := range c.fleet.Expire(now) {
+		a.Machine.Bin.SetOpen(false)
 		c.gone(a, now)
 		c.dirty = true
 	}
@@ -344,6 +346,9 @@
 
 // DropMachine forgets a machine that is surely gone.
 func (c *Core) DropMachine(host string, now time.Time) {
+	if m := c.fleet.Machines[host]; m != nil && c.spaces[m.Type] != nil {
+		c.spaces[m.Type].Drop(m.Bin)
+	}
 	for _, a := range c.fleet.Drop(host) {
 		c.gone(a, now)
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -51,7 +51,7 @@
 // pass long ones, and every job's turn comes.
 func (c *Core) turns(now time.Time) {
 	up := 0
-	for _, m := range c.fleet.Machines {
+	for _, m := range c.fleet.Sorted() {
 		if m.Up && !m.Lost && !m.Returning {
 			up++
 		}
@@ -133,7 +133,7 @@
 // usage is what a team's tasks take. With planned, also what is meant to start.
 func (c *Core) usage(team string, planned bool) packing.Vec {
 	var sum packing.Vec
-	for _, m := range c.fleet.Machines {
+	for _, m := range c.fleet.Sorted() {
 		for _, a := range m.Attempts() {
 			if a.Present() || planned && a.State == fleet.Planned {
 				if j := c.jobs[a.Task.Job]; j != nil {
@@ -206,7 +206,7 @@
 // place inserts waiting tasks into bins, in queue order.
 func (c *Core) place(now time.Time) {
 	c.dirty = false
-	c.buildSpaces(now)
+	c.reopen(now)
 	type failure struct {
 		req  packing.Vec
 		zone string
@@ -341,9 +341,9 @@
 // insertIn finds a bin for one task by VISBP's insert, over the machine types
 // that the job allows, cheapest first. Try 0 stands for a new attempt number.
 func (c *Core) insertIn(j *Job, t int, try uint64, zones map[string]int, zone string, now time.Time) *fleet.Machine {
-	it := &packing.Item{ID: j.ID, Req: j.req, Movable: true}
+	it := &packing.Item{ID: j.ID, Req: j.req, Prefer: j.prefer}
 	ok := func(b *packing.Bin) bool {
-		m := c.fleet.Machines[b.ID]
+		m := b.Owner.(*fleet.Machine)
 		return j.permits(m.Type, m.Zone, m.Spot) && (zones == nil || j.zoneOK(m.Zone, zones)) &&
 			(zone == "" || m.Zone == zone)
 	}
@@ -352,12 +352,11 @@
 		if s == nil {
 			continue
 		}
-		s.Rank = func(b *packing.Bin, _ *packing.Item) float64 { return c.rank(c.fleet.Machines[b.ID], j) }
 		b, moves, rule := s.Insert(it, ok)
 		if b == nil {
 			continue
 		}
-		m := c.fleet.Machines[b.ID]
+		m := b.Owner.(*fleet.Machine)
 		c.carryOut(moves, now)
 		if try == 0 {
 			try = c.newTry()
@@ -373,39 +372,16 @@
 	return nil
 }
 
-// rank orders bins that the paper leaves equal: where the image is, then on
-// cheap machines, then the fullest.
-func (c *Core) rank(m *fleet.Machine, j *Job) float64 {
-	r := 1 - m.Bin.Gap()
-	if m.HasImage(j.Image) {
-		r += 4
-	}
-	if m.Spot {
-		r += 2
-	}
-	return r
-}
-
-// buildSpaces gathers the bins of each machine type.
-func (c *Core) buildSpaces(now time.Time) {
-	c.spaces = map[string]*packing.Space{}
+// reopen looks anew at which machines take tasks. What a report changes is seen
+// at once; what time alone changes, a few times in a report interval.
+func (c *Core) reopen(now time.Time) {
+	c.now = now
+	if now.Sub(c.opened) < c.set.Report/8 {
+		return
+	}
+	c.opened = now
 	for _, m := range c.fleet.Sorted() {
-		m.Bin.Open = c.open(m, now)
-		if m.Bin.Cap == (packing.Vec{}) {
-			continue
-		}
-		s := c.spaces[m.Type]
-		if s == nil {
-			s = &packing.Space{}
-			c.spaces[m.Type] = s
-		}
-		s.Bins = append(s.Bins, m.Bin)
-		for _, a := range m.Attempts() {
-			if a.Item != nil {
-				j := c.jobs[a.Task.Job]
-				a.Item.Movable = j != nil && c.movable(j, a, now)
-			}
-		}
+		m.Bin.SetOpen(c.open(m, now))
 	}
 }
 
@@ -413,7 +389,7 @@
 // tasks started under a round ago. Gangs never move, and replicas move only
 // in rounds, one at a time.
 func (c *Core) movable(j *Job, a *fleet.Attempt, now time.Time) bool {
-	if a.Stop || a.Stray || j.Shape != ledger.ShapeBatch {
+	if j == nil || a.Stop || a.Stray || j.Shape != ledger.ShapeBatch {
 		return false
 	}
 	return a.State == fleet.Planned || a.Present() && a.State != fleet.Sent && now.Sub(a.Since) < c.set.Round
@@ -425,14 +401,9 @@
 func (c *Core) carryOut(moves []packing.Move, now time.Time) {
 	for _, mv := range moves {
 		for _, it := range mv.Items {
-			from := c.fleet.Machines[mv.From.ID]
-			var a *fleet.Attempt
-			for _, x := range from.Attempts() {
-				if x.Item == it {
-					a = x
-				}
-			}
-			if a == nil {
+			from := mv.From.Owner.(*fleet.Machine)
+			a, ok := it.Owner.(*fleet.Attempt)
+			if !ok {
 				continue
 			}
 			// The bins keep what is really there: put the item back first.
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -33,13 +33,35 @@
 	}
 }
 
-// mostVirtual bounds the work of one rental plan, in tasks.
-const mostVirtual = 600
+// mostNew bounds the work of one rental plan, in machines.
+const mostNew = 20 * rental.MostCount
 
 func (c *Core) startup(typ string) time.Duration {
 	return time.Duration(c.types[typ].StartupS * float64(time.Second))
 }
 
+func (c *Core) capacity(typ string) packing.Vec {
+	t := c.types[typ]
+	return packing.Vec{CPU: t.CPUs, GPU: t.GPUs, Mem: t.MemGB}
+}
+
+// plan is one look at what to rent.
+type plan struct {
+	spaces map[string]*packing.Space // machines that are booting or asked for, and new ones with room
+	inZone map[string]int            // machines by zone
+	counts map[offer]int             // new machines
+	urgent map[offer]int             // of these, those that do not depend on how much work there is
+	busy   map[string]float64        // machine seconds of waiting work by type
+	opened int
+}
+
+func (p *plan) add(o offer, capacity packing.Vec) *packing.Bin {
+	b := packing.NewBin("", capacity)
+	b.Owner = o
+	p.spaces[o.typ].Add(b)
+	return b
+}
+
 // Wants tells what to rent now: the new bins that the packing would open for
 // what waits, less what is booting, and no more than the work can keep busy
 // for about as long as a machine takes to start.
@@ -47,87 +69,56 @@
 	if !c.rent.ready || len(c.types) == 0 {
 		return nil
 	}
-	spaces := map[string]*packing.Space{}
-	perZone := map[offer]int{}
-	for _, n := range c.names {
-		spaces[n] = &packing.Space{OnlyPaper: true}
+	p := &plan{
+		spaces: map[string]*packing.Space{}, inZone: map[string]int{}, counts: map[offer]int{},
+		urgent: map[offer]int{}, busy: map[string]float64{},
 	}
-	capOf := func(typ string) packing.Vec {
-		t := c.types[typ]
-		return packing.Vec{CPU: t.CPUs, GPU: t.GPUs, Mem: t.MemGB}
+	for _, n := range c.names {
+		p.spaces[n] = &packing.Space{OnlyPaper: true}
 	}
-	kinds := map[*packing.Bin]offer{}
+	have := map[string]int{} // machines by type that take work now or soon
 	for _, m := range c.fleet.Sorted() {
-		perZone[offer{m.Type, m.Zone, m.Spot}]++
-		if m.Up || m.Returning || m.Lost || spaces[m.Type] == nil {
-			continue
+		p.inZone[m.Zone]++
+		if !m.Returning && !m.Lost && !m.Draining {
+			have[m.Type]++
+		}
+		if !m.Up && !m.Returning && !m.Lost && p.spaces[m.Type] != nil {
+			p.add(offer{m.Type, m.Zone, m.Spot}, c.capacity(m.Type))
 		}
-		b := &packing.Bin{Cap: capOf(m.Type), Open: true}
-		kinds[b] = offer{m.Type, m.Zone, m.Spot}
-		spaces[m.Type].Bins = append(spaces[m.Type].Bins, b)
 	}
 	for _, r := range c.rent.inflight {
 		for range r.Count {
-			b := &packing.Bin{Cap: capOf(r.Type), Open: true}
-			kinds[b] = offer{r.Type, r.Zone, r.Spot}
-			spaces[r.Type].Bins = append(spaces[r.Type].Bins, b)
+			p.add(offer{r.Type, r.Zone, r.Spot}, c.capacity(r.Type))
 		}
-		perZone[offer{r.Type, r.Zone, r.Spot}] += r.Count
+		p.inZone[r.Zone] += r.Count
+		have[r.Type] += r.Count
 	}
-	counts := map[offer]int{}
-	busy := map[string]float64{} // machine seconds of waiting work by type
-	urgent := map[offer]int{}    // new bins that do not depend on how much work there is
-	virtual := 0
 	for _, j := range c.queue(now) {
-		if j.over != "" || j.finishing || now.Before(j.retryAt) {
-			continue
-		}
-		n := j.pending()
-		if c.limited(j.Team) {
-			used := c.usage(j.Team, true)
-			t := c.set.Teams[j.Team]
-			if t.CPUsMax > 0 && j.CPUs > 0 {
-				n = min(n, int((t.CPUsMax-used.CPU)/j.CPUs+1e-9))
-			}
-			if t.GPUsMax > 0 && j.GPUs > 0 {
-				n = min(n, int((t.GPUsMax-used.GPU)/j.GPUs+1e-9))
-			}
-		}
-		for i := 0; i < n && virtual < mostVirtual; i++ {
-			virtual++
-			if !c.virtual(j, spaces, kinds, counts, perZone, busy, urgent, capOf, now) {
-				break
-			}
+		if j.over == "" && !j.finishing && !now.Before(j.retryAt) {
+			c.plan(p, j, c.wanted(j), now)
 		}
 	}
-	var reqs []rental.Request
-	offers := make([]offer, 0, len(counts))
-	for o := range counts {
+	offers := make([]offer, 0, len(p.counts))
+	for o := range p.counts {
 		offers = append(offers, o)
 	}
-	sort.Slice(offers, func(a, b int) bool { return fmt.Sprint(offers[a]) < fmt.Sprint(offers[b]) })
+	sort.Slice(offers, func(a, b int) bool {
+		if offers[a].spot != offers[b].spot {
+			return offers[a].spot // cheap ones first: the others only for what these leave
+		}
+		return fmt.Sprint(offers[a]) < fmt.Sprint(offers[b])
+	})
 	running := c.runningWork(now)
+	var reqs []rental.Request
 	for _, o := range offers {
-		n := counts[o]
+		n := p.counts[o]
 		// Work that the machines at hand will soon have done needs no others.
-		have := 0
-		for _, m := range c.fleet.Machines {
-			if m.Type == o.typ && !m.Returning && !m.Lost && !m.Draining {
-				have++
-			}
-		}
-		for _, r := range c.rent.inflight {
-			if r.Type == o.typ {
-				have += r.Count
-			}
-		}
-		if work := busy[o.typ] + running[o.typ]; work < math.Inf(1) {
+		if work := p.busy[o.typ] + running[o.typ]; work < math.Inf(1) {
 			horizon := max(c.startup(o.typ).Seconds(), 1) * c.horizon(o)
-			most := int(math.Ceil(work/horizon)) - have
-			if n = min(n, max(most, urgent[o])); n <= 0 {
-				continue
-			}
+			most := int(math.Ceil(work/horizon)) - have[o.typ]
+			n = min(n, max(most, p.urgent[o]))
 		}
+		have[o.typ] += max(n, 0)
 		for n > 0 {
 			k := min(n, rental.MostCount)
 			n -= k
@@ -140,10 +131,26 @@
 	return reqs
 }
 
+// wanted is how many of a job's tasks wait and are within its team's limit.
+func (c *Core) wanted(j *Job) int {
+	n := j.pending()
+	if c.limited(j.Team) {
+		used := c.usage(j.Team, true)
+		t := c.set.Teams[j.Team]
+		if t.CPUsMax > 0 && j.CPUs > 0 {
+			n = min(n, int((t.CPUsMax-used.CPU)/j.CPUs+1e-9))
+		}
+		if t.GPUsMax > 0 && j.GPUs > 0 {
+			n = min(n, int((t.GPUsMax-used.GPU)/j.GPUs+1e-9))
+		}
+	}
+	return n
+}
+
 // anyPermits says whether a machine at hand, or about to be rented, may take the
 // job's tasks at all.
 func (c *Core) anyPermits(j *Job, counts map[offer]int) bool {
-	for _, m := range c.fleet.Machines {
+	for _, m := range c.fleet.Sorted() {
 		if !m.Returning && !m.Lost && !m.Draining && j.permits(m.Type, m.Zone, m.Spot) && m.Bin.Cap.Fits(j.req) {
 			return true
 		}
@@ -179,7 +186,7 @@
 // runningWork is what running tasks still have before them, in machine seconds.
 func (c *Core) runningWork(now time.Time) map[string]float64 {
 	sum := map[string]float64{}
-	for _, m := range c.fleet.Machines {
+	for _, m := range c.fleet.Sorted() {
 		for _, a := range m.Attempts() {
 			if j := c.jobs[a.Task.Job]; j != nil && a.Item != nil && j.Shape == ledger.ShapeBatch {
 				sum[m.Type] += c.remaining(j, a, now) * m.Bin.Cap.Share(a.Item.Req)
@@ -189,58 +196,85 @@
 	return sum
 }
 
-// virtual packs one waiting task into machines that are booting, or opens a new
-// bin for it. It returns false when no machine can be had for it now.
-func (c *Core) virtual(j *Job, spaces map[string]*packing.Space, kinds map[*packing.Bin]offer, counts, perZone map[offer]int,
-	busy map[string]float64, urgent map[offer]int, capOf func(string) packing.Vec, now time.Time) bool {
-	it := &packing.Item{ID: j.ID, Req: j.req}
-	note := func(typ string) {
+// plan packs n waiting tasks of a job into machines that are booting, and opens
+// new bins for the rest, as many at once as hold nothing but these tasks.
+func (c *Core) plan(p *plan, j *Job, n int, now time.Time) {
+	it := func() *packing.Item { return &packing.Item{ID: j.ID, Req: j.req} }
+	note := func(typ string, n int) {
 		if j.Shape == ledger.ShapeBatch {
-			busy[typ] += j.EstimateS * capOf(typ).Share(j.req)
+			p.busy[typ] += float64(n) * j.EstimateS * c.capacity(typ).Share(j.req)
 		} else {
-			busy[typ] = math.Inf(1) // gangs and replicas need all their places
+			p.busy[typ] = math.Inf(1) // gangs and replicas need all their places
 		}
 	}
-	ok := func(b *packing.Bin) bool { o := kinds[b]; return j.permits(o.typ, o.zone, o.spot) }
-	for _, name := range c.names {
-		if b, _, _ := spaces[name].Insert(it, ok); b != nil {
-			note(name)
-			return true
+	ok := func(b *packing.Bin) bool {
+		o := b.Owner.(offer)
+		return j.permits(o.typ, o.zone, o.spot)
+	}
+next:
+	for n > 0 {
+		for _, name := range c.names {
+			if b, _, _ := p.spaces[name].Insert(it(), ok); b != nil {
+				note(name, 1)
+				n--
+				continue next
+			}
+		}
+		o, found := c.choose(p, j, now)
+		if !found {
+			return
+		}
+		if p.opened >= mostNew {
+			note(o.typ, n) // more than one plan rents, but work all the same
+			return
+		}
+		// Guards against a job that waits for ever because the machines at hand count as
+		// enough, while none of them may or can take it.
+		wait := time.Duration(float64(c.startup(o.typ)) * horizonDear)
+		if j.rank <= 1 || j.guaranteed || now.Sub(j.Accepted) > wait || !c.anyPermits(j, p.counts) {
+			p.urgent[o]++
+		}
+		p.counts[o]++
+		p.inZone[o.zone]++
+		p.opened++
+		most, takes := alone(c.capacity(o.typ), j.req)
+		k := min(n, most)
+		note(o.typ, k)
+		if n -= k; k < most || takes {
+			b := p.add(o, c.capacity(o.typ)) // it has room for others
+			for range k {
+				b.Add(it())
+			}
 		}
 	}
-	o, found := c.choose(j, perZone, capOf, now)
-	if !found {
-		return false
+}
+
+// alone tells how many items of a size a bin holds by the paper's combinations,
+// and whether others may join them.
+func alone(capacity, req packing.Vec) (n int, takes bool) {
+	b := packing.NewBin("", capacity)
+	s := &packing.Space{OnlyPaper: true}
+	s.Add(b)
+	// What takes next to nothing never fills a machine: mostAlone will do.
+	for n < mostAlone {
+		if in, _, _ := s.Insert(&packing.Item{Req: req}, nil); in == nil {
+			break
+		}
+		n++
 	}
-	b := &packing.Bin{Cap: capOf(o.typ), Open: true}
-	b.Add(it)
-	kinds[b] = o
-	spaces[o.typ].Bins = append(spaces[o.typ].Bins, b)
-	first := !c.anyPermits(j, counts)
-	counts[o]++
-	perZone[o]++
-	// Guards against a job that waits for ever because the machines at hand count as
-	// enough, while none of them may or can take it.
-	wait := time.Duration(float64(c.startup(o.typ)) * horizonDear)
-	if j.rank <= 1 || j.guaranteed || now.Sub(j.Accepted) > wait || first {
-		urgent[o]++
-	}
-	note(o.typ)
-	return true
+	return max(n, 1), b.Takes()
 }
 
+const mostAlone = 100
+
 // choose picks what to rent for a task: cheap machines where the job permits,
 // by price for its share, in the zone that has the fewest.
-func (c *Core) choose(j *Job, perZone map[offer]int, capOf func(string) packing.Vec, now time.Time) (offer, bool) {
+func (c *Core) choose(p *plan, j *Job, now time.Time) (offer, bool) {
 	var best offer
 	bestCost, bestCount, found := 0.0, 0, false
-	inZone := map[string]int{}
-	for o, n := range perZone {
-		inZone[o.zone] += n
-	}
 	for _, name := range c.names {
 		t := c.types[name]
-		if !capOf(name).Fits(j.req) {
+		if !c.capacity(name).Fits(j.req) {
 			continue
 		}
 		for _, spot := range []bool{true, false} {
@@ -250,14 +284,14 @@
 					continue
 				}
 			}
-			cost := price * capOf(name).Share(j.req)
+			cost := price * c.capacity(name).Share(j.req)
 			for _, z := range t.Zones {
 				o := offer{name, z, spot}
 				if !j.permits(name, z, spot) || now.Before(c.rent.refused[o]) {
 					continue
 				}
-				if !found || cost < bestCost || cost == bestCost && inZone[z] < bestCount {
-					best, bestCost, bestCount, found = o, cost, inZone[z], true
+				if !found || cost < bestCost || cost == bestCost && p.inZone[z] < bestCount {
+					best, bestCost, bestCount, found = o, cost, p.inZone[z], true
 				}
 			}
 		}
@@ -302,7 +336,7 @@
 func (c *Core) Returns(now time.Time) []string {
 	var hosts []string
 	up, silent := 0, 0
-	for _, m := range c.fleet.Machines {
+	for _, m := range c.fleet.Sorted() {
 		if m.Up {
 			up++
 			if now.Sub(m.LastBody) > 3*c.set.Report {
@@ -318,6 +352,7 @@
 		}
 		if len(hosts) < rental.MostNames && c.giveBack(m, now) {
 			m.Returning = true
+			m.Bin.SetOpen(false)
 			hosts = append(hosts, m.Host)
 			slog.Info("giving back", "machine", m.Host, "bad", m.Bad, "lost", m.Lost, "up", m.Up, "term", c.term)
 		}
--- a/internal/dispatch/rounds.go
+++ b/internal/dispatch/rounds.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"drumpick/internal/fleet"
@@ -15,7 +16,7 @@
 	if !canRun {
 		return
 	}
-	for _, m := range c.fleet.Machines {
+	for _, m := range c.fleet.Sorted() {
 		if m.Draining || m.Returning || m.Lost {
 			c.unplan(m)
 			continue
@@ -44,7 +45,7 @@
 func (c *Core) round(now time.Time) {
 	c.lastRound = now
 	c.resort = true
-	c.buildSpaces(now)
+	c.reopen(now)
 	for _, m := range c.fleet.Sorted() {
 		reserved := m.Bin.Cap.Share(m.Bin.Used())
 		m.Bin.Load = m.Forecast.Predicted(reserved)
@@ -108,15 +109,43 @@
 	}
 }
 
+// sacrifice is what would have to be stopped on a machine to make room there.
+type sacrifice struct {
+	m       *fleet.Machine
+	victims []*fleet.Attempt
+	loss    float64
+}
+
+// claim is what the choice of victims depends on.
+type claim struct {
+	req        packing.Vec
+	rank       int
+	team, zone string
+	guaranteed bool
+	spot       bool
+}
+
 // preempt stops work of lower priority, or what another team runs in excess of
 // its guarantee, where a job that may claim the room finds none. Room that is
-// already being made is counted first.
+// already being made is counted first. Jobs alike share one look at the machines:
+// without that, a queue of urgent jobs costs a look at every task for each of them.
 func (c *Core) preempt(now time.Time) {
 	if !c.settled {
 		return
 	}
+	var claimants []*Job
+	guaranteed := false
+	for _, j := range c.queue(now) {
+		if c.startable(j, now) && j.peek() >= 0 && (prioRank[j.Priority] <= 1 || j.guaranteed) {
+			claimants = append(claimants, j)
+			guaranteed = guaranteed || j.guaranteed
+		}
+	}
+	if len(claimants) == 0 {
+		return
+	}
 	var making packing.Vec
-	for _, m := range c.fleet.Machines {
+	for _, m := range c.fleet.Sorted() {
 		for _, a := range m.Attempts() {
 			if a.Stop && a.Present() && a.Item != nil {
 				making = making.Add(a.Item.Req)
@@ -124,14 +153,14 @@
 		}
 	}
 	excess := map[string]bool{}
-	for name, t := range c.set.Teams {
-		u := c.usage(name, false)
-		excess[name] = u.CPU > t.CPUs+1e-9 || u.GPU > t.GPUs+1e-9
-	}
-	for _, j := range c.queue(now) {
-		if !c.startable(j, now) || j.peek() < 0 || prioRank[j.Priority] > 1 && !j.guaranteed {
-			continue
+	if guaranteed {
+		for name, t := range c.set.Teams {
+			u := c.usage(name, false)
+			excess[name] = u.CPU > t.CPUs+1e-9 || u.GPU > t.GPUs+1e-9
 		}
+	}
+	looked := map[claim][]sacrifice{}
+	for _, j := range claimants {
 		if c.limited(j.Team) && !c.withinLimit(j, c.usage(j.Team, true)) {
 			continue
 		}
@@ -140,13 +169,37 @@
 			making = making.Sub(j.req)
 			need--
 		}
+		if need == 0 {
+			continue
+		}
+		k := claim{req: j.req, rank: prioRank[j.Priority], guaranteed: j.guaranteed, spot: j.Spot}
+		if j.guaranteed {
+			k.team = j.Team
+		}
+		if j.Job.Zone != nil {
+			k.zone = *j.Job.Zone
+		}
+		plain := len(j.Types) == 0 && !j.OneZone && !j.Apart
+		list, ok := looked[k]
+		if !plain || !ok {
+			list = c.sacrifices(j, excess, now)
+		}
 		for need > 0 {
-			m, victims := c.victims(j, excess, now)
-			if m == nil {
+			best := -1
+			for i := range list {
+				if list[i].stale() {
+					list[i].victims, list[i].loss = c.victims(j, list[i].m, excess, now)
+				}
+				if len(list[i].victims) > 0 && (best < 0 || list[i].loss < list[best].loss) {
+					best = i
+				}
+			}
+			if best < 0 {
 				break
 			}
+			m := list[best].m
 			free := m.Bin.Cap.Sub(m.Bin.Used())
-			for _, v := range victims {
+			for _, v := range list[best].victims {
 				free = free.Add(v.Item.Req)
 				save := 0.0
 				if vj := c.jobs[v.Task.Job]; vj.CheckpointS > 0 {
@@ -160,62 +213,73 @@
 				need--
 			}
 		}
+		if plain {
+			looked[k] = list
+		}
 	}
 }
 
-// victims finds the machine where making room for one task of a job loses the
-// least work, and what must be stopped there.
-func (c *Core) victims(j *Job, excess map[string]bool, now time.Time) (*fleet.Machine, []*fleet.Attempt) {
-	var bestM *fleet.Machine
-	var best []*fleet.Attempt
-	bestLoss := 0.0
+// stale says whether a victim has been chosen meanwhile.
+func (s *sacrifice) stale() bool {
+	return slices.ContainsFunc(s.victims, func(a *fleet.Attempt) bool { return a.Stop })
+}
+
+// sacrifices finds the machines where room for one task of a job could be made.
+func (c *Core) sacrifices(j *Job, excess map[string]bool, now time.Time) []sacrifice {
+	var list []sacrifice
+	var zones map[string]int
+	if j.OneZone || j.Apart {
+		zones = c.zones(j, true)
+	}
 	for _, m := range c.fleet.Sorted() {
-		if !c.open(m, now) || !j.permits(m.Type, m.Zone, m.Spot) || !m.Bin.Cap.Fits(j.req) {
+		if !c.open(m, now) || !j.permits(m.Type, m.Zone, m.Spot) || !m.Bin.Cap.Fits(j.req) ||
+			zones != nil && !j.zoneOK(m.Zone, zones) {
 			continue
 		}
-		if (j.OneZone || j.Apart) && !j.zoneOK(m.Zone, c.zones(j, true)) {
-			continue
+		if victims, loss := c.victims(j, m, excess, now); len(victims) > 0 {
+			list = append(list, sacrifice{m, victims, loss})
 		}
-		free := m.Bin.Cap.Sub(m.Bin.Used())
-		var chosen []*fleet.Attempt
-		loss := 0.0
-		for !free.Fits(j.req) {
-			var v *fleet.Attempt
-			vloss := 0.0
-			for _, a := range m.Attempts() {
-				vj := c.jobs[a.Task.Job]
-				if vj == nil || a.Stop || !a.Present() || a.State == fleet.Sent || a.Item == nil || vj.Shape != ledger.ShapeBatch {
-					continue
-				}
-				lower := prioRank[vj.Priority] > prioRank[j.Priority] && !vj.guaranteed
-				if !lower && !(j.guaranteed && vj.Team != j.Team && excess[vj.Team] && !vj.guaranteed) {
-					continue
-				}
-				used := false
-				for _, x := range chosen {
-					used = used || x == a
-				}
-				l, ok := c.loss(vj, a, now)
-				if used || !ok {
-					continue
-				}
-				if v == nil || l < vloss {
-					v, vloss = a, l
-				}
+	}
+	return list
+}
+
+// victims finds what must be stopped on a machine to make room for one task of a
+// job with the least loss of work; nothing if that cannot be done.
+func (c *Core) victims(j *Job, m *fleet.Machine, excess map[string]bool, now time.Time) ([]*fleet.Attempt, float64) {
+	free := m.Bin.Cap.Sub(m.Bin.Used())
+	var chosen []*fleet.Attempt
+	loss := 0.0
+	for !free.Fits(j.req) {
+		var v *fleet.Attempt
+		vloss := 0.0
+		for _, a := range m.Attempts() {
+			if a.Stop || !a.Present() || a.State == fleet.Sent || a.Item == nil {
+				continue
 			}
-			if v == nil {
-				chosen = nil
-				break
+			vj := c.jobs[a.Task.Job]
+			if vj == nil || vj.Shape != ledger.ShapeBatch {
+				continue
+			}
+			lower := prioRank[vj.Priority] > prioRank[j.Priority] && !vj.guaranteed
+			if !lower && !(j.guaranteed && vj.Team != j.Team && excess[vj.Team] && !vj.guaranteed) {
+				continue
+			}
+			l, ok := c.loss(vj, a, now)
+			if !ok || slices.Contains(chosen, a) {
+				continue
+			}
+			if v == nil || l < vloss {
+				v, vloss = a, l
 			}
-			chosen = append(chosen, v)
-			free = free.Add(v.Item.Req)
-			loss += vloss
 		}
-		if len(chosen) > 0 && (bestM == nil || loss < bestLoss) {
-			bestM, best, bestLoss = m, chosen, loss
+		if v == nil {
+			return nil, 0
 		}
+		chosen = append(chosen, v)
+		free = free.Add(v.Item.Req)
+		loss += vloss
 	}
-	return bestM, best
+	return chosen, loss
 }
 
 // loss is the machine time that stopping an attempt throws away, as a share of
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -1,18 +1,14 @@
 package fleet
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"drumpick/internal/forecast"
 	"drumpick/internal/packing"
 )
 
-type key struct {
-	task TaskID
-	try  uint64
-}
-
 // Attempt is one start of a task on one machine.
 type Attempt struct {
 	Task     TaskID
@@ -30,6 +26,7 @@
 	Reap     bool          // may be removed from the worker's memory
 	Item     *packing.Item // its place in the machine's bin; nil once it has ended
 	Stray    bool          // not an attempt that we count as the task's own
+	body     uint64        // the machine's body that last had it
 }
 
 // Present says whether the attempt may be on its machine: everything that was
@@ -69,8 +66,8 @@
 	Forecast *forecast.FUSD
 	Changed  []packing.Kind // kinds of the items that left since the last round
 
-	attempts map[key]*Attempt
-	order    []*Attempt // in the order they were added
+	order []*Attempt // in the order they were added
+	body  uint64     // counts the bodies taken in
 }
 
 // Attempts lists what the machine holds, oldest first.
@@ -86,21 +83,20 @@
 	return true
 }
 
-// HasImage says whether an image was fetched here lately.
-func (m *Machine) HasImage(image string) bool {
-	for _, i := range m.Images {
-		if i == image {
-			return true
-		}
-	}
-	return false
-}
+// SpotMark and ImageMark name what tasks may prefer of a machine's bin.
+const SpotMark = "spot"
+
+func ImageMark(image string) string { return "image " + image }
 
 // keepImages is how many of the images last used a machine is believed to hold.
 const keepImages = 8
 
 // UseImage notes that an image is fetched, or being fetched, here.
 func (m *Machine) UseImage(image string) {
+	if n := len(m.Images); n > 0 && m.Images[n-1] == image {
+		return
+	}
+	m.Bin.Mark(ImageMark(image), true)
 	for i, x := range m.Images {
 		if x == image {
 			m.Images = append(m.Images[:i], m.Images[i+1:]...)
@@ -109,6 +105,7 @@
 	}
 	m.Images = append(m.Images, image)
 	if len(m.Images) > keepImages {
+		m.Bin.Mark(ImageMark(m.Images[0]), false)
 		m.Images = m.Images[1:]
 	}
 }
@@ -119,6 +116,7 @@
 	Lease    time.Duration // a worker's lease with drift and margin
 	Machines map[string]*Machine
 	Forecast forecast.Params
+	sorted   []*Machine
 }
 
 // NewTable returns an empty table for a term.
@@ -126,14 +124,12 @@
 	return &Table{Term: term, Lease: lease, Machines: map[string]*Machine{}, Forecast: p}
 }
 
-// Sorted lists the machines by name, so that decisions repeat.
-func (t *Table) Sorted() []*Machine {
-	ms := make([]*Machine, 0, len(t.Machines))
-	for _, m := range t.Machines {
-		ms = append(ms, m)
-	}
-	sort.Slice(ms, func(i, j int) bool { return ms[i].Host < ms[j].Host })
-	return ms
+// Sorted lists the machines by name, so that decisions repeat. The list stays as it
+// is while machines come and go.
+func (t *Table) Sorted() []*Machine { return t.sorted }
+
+func (t *Table) find(host string) (int, bool) {
+	return slices.BinarySearchFunc(t.sorted, host, func(m *Machine, h string) int { return strings.Compare(m.Host, h) })
 }
 
 // Ensure returns the machine of a name, making it when it is new. A machine
@@ -144,10 +140,15 @@
 	if m == nil {
 		m = &Machine{
 			Host: host, Addr: addr, Type: typ, Zone: zone, Spot: spot,
-			ErrorJobs: map[string]int{}, attempts: map[key]*Attempt{},
-			Bin: &packing.Bin{ID: host}, Forecast: forecast.New(t.Forecast),
+			ErrorJobs: map[string]int{},
+			Bin:       packing.NewBin(host, packing.Vec{}), Forecast: forecast.New(t.Forecast),
 		}
+		m.Bin.Owner = m
+		m.Bin.SetOpen(false)
+		m.Bin.Mark(SpotMark, spot)
 		t.Machines[host] = m
+		i, _ := t.find(host)
+		t.sorted = slices.Insert(slices.Clone(t.sorted), i, m)
 	}
 	if m.Addr == "" {
 		m.Addr = addr
@@ -158,24 +159,32 @@
 // Plan notes an attempt that is meant for the machine.
 func (t *Table) Plan(m *Machine, task TaskID, try uint64, it *packing.Item, now time.Time) *Attempt {
 	a := &Attempt{Task: task, Try: try, Machine: m, Item: it, Since: now}
-	m.add(a)
+	it.Owner = a
+	m.order = append(m.order, a)
 	return a
 }
 
-func (m *Machine) add(a *Attempt) {
-	m.attempts[key{a.Task, a.Try}] = a
-	m.order = append(m.order, a)
+// attempt finds an attempt; a machine holds few.
+func (m *Machine) attempt(task TaskID, try uint64) *Attempt {
+	for _, a := range m.order {
+		if a.Try == try && a.Task == task {
+			return a
+		}
+	}
+	return nil
+}
+
+// Hold gives an attempt found on the machine its place there.
+func (m *Machine) Hold(a *Attempt, it *packing.Item) {
+	it.Owner, a.Item = a, it
+	m.Bin.Add(it)
 }
 
 // Forget removes an attempt and gives its room back.
 func (m *Machine) Forget(a *Attempt) {
 	m.free(a)
-	delete(m.attempts, key{a.Task, a.Try})
-	for i, x := range m.order {
-		if x == a {
-			m.order = append(m.order[:i], m.order[i+1:]...)
-			break
-		}
+	if i := slices.Index(m.order, a); i >= 0 {
+		m.order = slices.Delete(m.order, i, i+1)
 	}
 }
 
@@ -234,7 +243,7 @@
 	if r.WarningS != nil {
 		m.Notice = now.Add(time.Duration(*r.WarningS * float64(time.Second)))
 	}
-	seen := make(map[key]bool, len(r.Tasks))
+	m.body++
 	for i := range r.Tasks {
 		tr := &r.Tasks[i]
 		task, ok := ParseTask(tr.Shot)
@@ -242,12 +251,10 @@
 		if !ok || !ok2 {
 			continue
 		}
-		k := key{task, tr.Try}
-		seen[k] = true
-		a := m.attempts[k]
+		a := m.attempt(task, tr.Try)
 		if a == nil {
-			a = &Attempt{Task: task, Try: tr.Try, Machine: m, Since: now, State: st, Cause: tr.Cause, Saved: tr.Saved}
-			m.add(a)
+			a = &Attempt{Task: task, Try: tr.Try, Machine: m, Since: now, State: st, Cause: tr.Cause, Saved: tr.Saved, body: m.body}
+			m.order = append(m.order, a)
 			if st == Running {
 				a.RunSince = now
 			}
@@ -255,6 +262,7 @@
 			out.Changed = true
 			continue
 		}
+		a.body = m.body
 		if a.State == Ended {
 			continue
 		}
@@ -270,8 +278,9 @@
 			out.Ended = append(out.Ended, a)
 		}
 	}
-	for _, a := range append([]*Attempt(nil), m.order...) {
-		if seen[key{a.Task, a.Try}] || a.State == Planned {
+	for i := 0; i < len(m.order); i++ {
+		a := m.order[i]
+		if a.body == m.body || a.State == Planned {
 			continue
 		}
 		// Guards against a double start: a run in flight is given up only when
@@ -281,6 +290,7 @@
 			continue
 		}
 		out.gone(m, a)
+		i--
 	}
 	return out
 }
@@ -301,6 +311,9 @@
 		return nil
 	}
 	delete(t.Machines, host)
+	if i, ok := t.find(host); ok {
+		t.sorted = slices.Delete(slices.Clone(t.sorted), i, i+1)
+	}
 	var gone []*Attempt
 	for _, a := range append([]*Attempt(nil), m.order...) {
 		m.Forget(a)
--- a/internal/packing/packing.go
+++ b/internal/packing/packing.go
@@ -4,6 +4,8 @@
 // of the moves it lists are carried out.
 package packing
 
+import "slices"
+
 // Vec is an amount in every dimension.
 type Vec struct{ CPU, GPU, Mem float64 }
 
@@ -71,7 +73,9 @@
 type Item struct {
 	ID      string
 	Req     Vec
-	Movable bool // may be moved merely to fill or empty a bin
+	Movable bool     // may be moved merely to fill or empty a bin, unless its space knows better
+	Prefer  []string // marks of bins to prefer, the weightiest first
+	Owner   any      // whose item it is; nothing to the packing
 	kind    Kind
 }
 
@@ -79,11 +83,64 @@
 type Bin struct {
 	ID    string
 	Cap   Vec
-	Open  bool    // may take items
 	Load  float64 // predicted use; 0 where nothing is predicted
+	Owner any     // whose bin it is; nothing to the packing
+	open  bool
 	used  Vec
 	items []*Item
 	count [4]int
+	marks []string
+
+	space *Space // where it is indexed; nil: nowhere
+	pos   int    // its place there
+	at    slot   // the set of the index that has it
+}
+
+// NewBin returns an empty bin that takes items.
+func NewBin(id string, capacity Vec) *Bin { return &Bin{ID: id, Cap: capacity, open: true} }
+
+// Open says whether the bin may take items.
+func (b *Bin) Open() bool { return b.open }
+
+// SetOpen says whether the bin may take items.
+func (b *Bin) SetOpen(open bool) {
+	if b.open == open {
+		return
+	}
+	b.open = open
+	if b.space != nil {
+		b.space.open.put(b.pos, open)
+	}
+}
+
+// SetCap gives the bin another capacity, which may change what its items are.
+func (b *Bin) SetCap(c Vec) {
+	if b.Cap == c {
+		return
+	}
+	b.Cap = c
+	b.count = [4]int{}
+	for _, it := range b.items {
+		it.kind = Classify(c.Share(it.Req))
+		b.count[it.kind]++
+	}
+	b.moved()
+}
+
+// Mark gives the bin a mark that items may prefer, or takes it away.
+func (b *Bin) Mark(name string, on bool) {
+	i := slices.Index(b.marks, name)
+	switch {
+	case on == (i >= 0):
+		return
+	case on:
+		b.marks = append(b.marks, name)
+	default:
+		b.marks = slices.Delete(b.marks, i, i+1)
+	}
+	if b.space != nil {
+		b.space.mark(name).put(b.pos, on)
+	}
 }
 
 // Used is what the bin's items take together.
@@ -107,6 +164,7 @@
 	b.items = append(b.items, it)
 	b.count[it.kind]++
 	b.used = b.used.Add(it.Req)
+	b.moved()
 }
 
 // Remove takes an item out.
@@ -119,6 +177,7 @@
 			if len(b.items) == 0 {
 				b.used = Vec{}
 			}
+			b.moved()
 			return
 		}
 	}
@@ -132,6 +191,11 @@
 func (b *Bin) ut() bool    { return b.tBin() && b.Gap() >= Third-eps }
 func (b *Bin) ullt() bool  { return b.lOrLT() && b.Gap() >= Third-eps }
 
+// Takes says whether the paper lets other items join those of the bin.
+func (b *Bin) Takes() bool {
+	return b.Gap() > eps && (b.empty() || b.tBin() || b.lOrLT() || b.sBin())
+}
+
 // Lawful says whether the bin holds one of the paper's combinations (Lemma 1).
 func (b *Bin) Lawful() bool {
 	switch {
@@ -182,16 +246,6 @@
 	FirstFit             // no allowed bin: anywhere with room
 )
 
-// Space is the bins that are packed together: machines of one type.
-type Space struct {
-	Bins []*Bin
-	// Rank orders the bins that the paper's "exists b" leaves equal; more is
-	// better. Nil: the first one found.
-	Rank func(b *Bin, it *Item) float64
-	// OnlyPaper leaves first fit out, for virtual bins in rental.
-	OnlyPaper bool
-}
-
 // op is one insert or change, with the moves it has listed.
 type op struct {
 	s     *Space
@@ -200,28 +254,14 @@
 	moves []Move
 }
 
-func (o *op) best(it *Item, skip *Bin, is func(*Bin) bool) *Bin {
-	var found *Bin
-	var rank float64
-	for _, b := range o.s.Bins {
-		if b == skip || !b.Open || !is(b) || !b.Fits(it.Req) || (o.ok != nil && !o.ok(b)) {
-			continue
-		}
-		if o.s.Rank == nil {
-			return b
-		}
-		if r := o.s.Rank(b, it); found == nil || r > rank {
-			found, rank = b, r
-		}
-	}
-	return found
-}
+// best finds an open bin of the given kinds with room for an item.
+func (o *op) best(it *Item, is kinds) *Bin { return o.s.search(it, is, o.ok) }
 
 // Insert finds a bin for an item, puts it there and lists the moves that the
 // paper asks for. ok tells which bins the item may be in at all.
 func (s *Space) Insert(it *Item, ok func(*Bin) bool) (*Bin, []Move, Rule) {
 	o := &op{s: s, ok: ok, most: MostInsert}
-	b, rule := o.place(it, nil)
+	b, rule := o.place(it)
 	if b == nil {
 		return nil, nil, NoBin
 	}
@@ -234,34 +274,29 @@
 
 // place finds a bin by the paper's rules, else by the two exceptions. The kind
 // of an item depends on the bin's capacity, which is one for all of a space.
-func (o *op) place(it *Item, skip *Bin) (*Bin, Rule) {
+func (o *op) place(it *Item) (*Bin, Rule) {
 	if len(o.s.Bins) == 0 {
 		return nil, NoBin
 	}
 	kind := Classify(o.s.Bins[0].Cap.Share(it.Req))
-	rules := [][]func(*Bin) bool{
-		Tiny:  {(*Bin).ullt, (*Bin).ut},
-		Small: {(*Bin).sBin},
-		Large: nil,
-		Big:   nil,
-	}[kind]
+	rules := [][]kinds{Tiny: {isULLT, isUT}, Small: {isS}, Large: nil, Big: nil}[kind]
 	for _, r := range rules {
-		if b := o.best(it, skip, r); b != nil {
+		if b := o.best(it, r); b != nil {
 			return b, Paper
 		}
 	}
 	if kind == Tiny {
 		// Requests are reserved, so the last third of a machine need not stay
 		// free for growth: a filled T- or LT-bin may be filled up.
-		if b := o.best(it, skip, func(b *Bin) bool { return b.tBin() || b.lOrLT() }); b != nil {
+		if b := o.best(it, isT|isLT); b != nil {
 			return b, Topping
 		}
 	}
-	if b := o.best(it, skip, (*Bin).empty); b != nil {
+	if b := o.best(it, isEmpty); b != nil {
 		return b, Paper
 	}
 	if !o.s.OnlyPaper {
-		if b := o.best(it, skip, func(*Bin) bool { return true }); b != nil {
+		if b := o.best(it, isAny); b != nil {
 			return b, FirstFit
 		}
 	}
@@ -274,12 +309,12 @@
 func (o *op) shift(g []*Item, from, to *Bin) bool {
 	var sum Vec
 	for _, it := range g {
-		if !it.Movable {
+		if !o.s.movable(it) {
 			return false
 		}
 		sum = sum.Add(it.Req)
 	}
-	if !o.room() || to == from || (to != nil && (!to.Open || !to.Fits(sum) || (o.ok != nil && !o.ok(to)))) {
+	if !o.room() || to == from || (to != nil && (!to.open || !to.Fits(sum) || (o.ok != nil && !o.ok(to)))) {
 		return false
 	}
 	for _, it := range g {
@@ -295,36 +330,42 @@
 // fill takes groups out of T-bins into an L- or LT-bin that gapes.
 func (o *op) fill(b *Bin) {
 	for o.room() && b.Gap() >= Third-eps {
-		if !o.fillFrom(b, (*Bin).ut) && !o.fillFrom(b, (*Bin).tBin) {
+		if !o.fillFrom(b, isUT) && !o.fillFrom(b, isT) {
 			return
 		}
 	}
 }
 
-func (o *op) fillFrom(b *Bin, is func(*Bin) bool) bool {
-	for _, t := range o.s.Bins {
-		if t == b || !is(t) {
-			continue
+func (o *op) fillFrom(b *Bin, is kinds) bool {
+	return o.s.any(is, func(t *Bin) bool {
+		if t == b || !slices.ContainsFunc(t.items, o.s.movable) {
+			return false
 		}
 		for _, g := range t.groups() {
 			if o.shift(g, t, b) {
 				return true
 			}
 		}
+		return false
+	})
+}
+
+// into moves a group into the first bin of the given kinds that may take it.
+func (o *op) into(is kinds, g []*Item, from *Bin) bool {
+	if !o.room() {
+		return false
+	}
+	for _, it := range g {
+		if !o.s.movable(it) {
+			return false
+		}
 	}
-	return false
+	return o.s.any(is, func(b *Bin) bool { return b != from && o.shift(g, from, b) })
 }
 
 // fillWith moves a group out of its bin into one that may take it.
 func (o *op) fillWith(g []*Item, from *Bin) bool {
-	for _, is := range []func(*Bin) bool{(*Bin).ullt, (*Bin).ut, (*Bin).empty} {
-		for _, b := range o.s.Bins {
-			if b != from && is(b) && o.shift(g, from, b) {
-				return true
-			}
-		}
-	}
-	return false
+	return o.into(isULLT, g, from) || o.into(isUT, g, from) || o.into(isEmpty, g, from)
 }
 
 // adjust cools or fills an L- or LT-bin; the two exclude each other.
@@ -350,28 +391,27 @@
 }
 
 // drain moves the groups of a bin into bins of a kind while there are any.
-func (o *op) drain(b *Bin, is func(*Bin) bool) {
+func (o *op) drain(b *Bin, is kinds) {
+	if !slices.ContainsFunc(b.items, o.s.movable) {
+		return
+	}
 	for _, g := range b.groups() {
-		moved := false
-		for _, to := range o.s.Bins {
-			if to != b && is(to) && o.shift(g, b, to) {
-				moved = true
-				break
-			}
-		}
-		if !moved {
+		if !o.into(is, g, b) {
 			return
 		}
 	}
 }
 
-func (o *op) has(is func(*Bin) bool, but *Bin) *Bin {
-	for _, b := range o.s.Bins {
-		if b != but && b.Open && is(b) {
-			return b
+func (o *op) has(is kinds, but *Bin) *Bin {
+	var found *Bin
+	o.s.any(is, func(b *Bin) bool {
+		if b == but || !b.open {
+			return false
 		}
-	}
-	return nil
+		found = b
+		return true
+	})
+	return found
 }
 
 // lone returns the item of a kind in the bin, if there is just one.
@@ -402,14 +442,14 @@
 	case old == Large && now == Tiny:
 		// The large item is gone: what was packed around it goes where it
 		// would have gone by itself.
-		if o.has((*Bin).tBin, ob) != nil {
-			o.drain(ob, (*Bin).ut)
+		if o.has(isT, ob) != nil {
+			o.drain(ob, isUT)
 		} else {
-			o.drain(ob, (*Bin).ullt)
+			o.drain(ob, isULLT)
 		}
 	case old == Small && now == Tiny:
 		if x := ob.lone(Small); x != nil && len(ob.items) == 1 {
-			if b := o.has((*Bin).sBin, ob); b != nil {
+			if b := o.has(isS, ob); b != nil {
 				o.shift([]*Item{x}, ob, b)
 			}
 		}
@@ -417,7 +457,7 @@
 		if ob.count[Large] > 0 {
 			o.adjust(ob)
 		} else if ob.tBin() && ob.Gap() >= Third-eps {
-			o.drain(ob, (*Bin).ut)
+			o.drain(ob, isUT)
 		}
 	default:
 		// An item that grew: the small ones around it are released.
--- a/internal/packing/packing_test.go
+++ b/internal/packing/packing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -45,7 +46,7 @@
 			switch w[0] {
 			case "bins":
 				for _, n := range w[1:] {
-					s.Bins = append(s.Bins, &Bin{ID: n, Cap: Vec{CPU: 12, Mem: 12}, Open: true})
+					s.Add(NewBin(n, Vec{CPU: 12, Mem: 12}))
 				}
 				return nil
 			case "insert":
@@ -86,7 +87,7 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	s := &Space{}
 	for i := range 40 {
-		s.Bins = append(s.Bins, &Bin{ID: fmt.Sprint(i), Cap: Vec{CPU: 4, Mem: 16}, Open: true})
+		s.Add(NewBin(fmt.Sprintf("%02d", i), Vec{CPU: 4, Mem: 16}))
 	}
 	total := 0
 	for range 4000 {
@@ -120,3 +121,77 @@
 		}
 	}
 }
+
+// plain is the search that the index stands for: a look at every bin in order.
+func plain(s *Space, it *Item, is kinds, ok func(*Bin) bool) *Bin {
+	var found *Bin
+	var rank float64
+	for _, b := range s.Bins {
+		if !b.open || is>>b.kindOf()&1 == 0 || !b.Fits(it.Req) || (ok != nil && !ok(b)) {
+			continue
+		}
+		if !s.Ranked {
+			return b
+		}
+		r := 1 - b.Gap()
+		for i, m := range it.Prefer {
+			if slices.Contains(b.marks, m) {
+				r += float64(int(2) << (len(it.Prefer) - i))
+			}
+		}
+		if found == nil || r > rank {
+			found, rank = b, r
+		}
+	}
+	return found
+}
+
+// The index answers as the plain search does, whatever comes, goes, opens, closes
+// and is marked, also where one dimension is full and another is not.
+func TestIndexIsThePlainSearch(t *testing.T) {
+	for _, ranked := range []bool{false, true} {
+		r := rand.New(rand.NewPCG(5, 6))
+		s := &Space{Ranked: ranked}
+		capacity := Vec{CPU: 4, GPU: 1, Mem: 16}
+		names := []string{"img-1", "img-2", "spot"}
+		found := 0
+		for n := range 5_000 {
+			switch k := r.IntN(20); {
+			case len(s.Bins) == 0 || k == 0 && len(s.Bins) < 150:
+				b := NewBin(fmt.Sprintf("m-%04d", r.IntN(10_000)), capacity)
+				b.Mark("spot", r.IntN(2) == 0)
+				s.Add(b)
+			case k == 1 && r.IntN(3) == 0:
+				s.Drop(s.Bins[r.IntN(len(s.Bins))])
+			case k == 2:
+				s.Bins[r.IntN(len(s.Bins))].SetOpen(r.IntN(3) > 0)
+			case k == 3:
+				s.Bins[r.IntN(len(s.Bins))].Mark(names[r.IntN(2)], r.IntN(2) == 0)
+			case k < 10:
+				if b := s.Bins[r.IntN(len(s.Bins))]; len(b.items) > 0 {
+					b.Remove(b.items[r.IntN(len(b.items))])
+				}
+			default:
+				it := &Item{Req: Vec{CPU: float64(r.IntN(17)) / 4, GPU: float64(r.IntN(2) * r.IntN(2)), Mem: float64(r.IntN(17))}}
+				it.Prefer = names[r.IntN(2):][:r.IntN(2)+1]
+				var ok func(*Bin) bool
+				if r.IntN(3) == 0 {
+					ok = func(b *Bin) bool { return b.pos%3 > 0 }
+				}
+				for is := range isAny + 1 {
+					if got, want := s.search(it, is, ok), plain(s, it, is, ok); got != want {
+						t.Fatalf("ranked %v, step %d: the index finds %+v, the plain search %+v", ranked, n, got, want)
+					} else if got != nil {
+						found++
+					}
+				}
+				if b, _, _ := s.Insert(it, ok); b != nil && !slices.Contains(b.items, it) {
+					t.Fatalf("step %d: the item is not in its bin", n)
+				}
+			}
+		}
+		if found < 3_000 {
+			t.Fatalf("only %d searches found anything", found)
+		}
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -26,6 +26,7 @@
 	Jobs                          func(id string) (ledger.Job, bool) // what users submitted
 	Report                        Report
 	RunFor                        func(task string) time.Duration
+	Capacity                      int // machines to be had in a zone, cheap and ordinary ones each
 
 	mu        sync.Mutex
 	ctx       context.Context
@@ -191,7 +192,16 @@
 	defer w.mu.Unlock()
 	hosts, known := w.bookings[r.Booking]
 	if !known {
-		for range r.Count {
+		free := w.Capacity
+		for _, m := range w.machines {
+			if !m.gone && m.Zone == r.Zone && m.Spot == r.Spot {
+				free--
+			}
+		}
+		if free <= 0 {
+			return nil, rental.ErrNoCapacity
+		}
+		for range min(r.Count, free) {
 			w.seq++
 			m := &Machine{
 				w: w, Host: fmt.Sprintf("m-%06d", w.seq), Zone: r.Zone, Spot: r.Spot, rented: time.Now(), stint: 1,
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -62,6 +62,7 @@
 		c := &cluster{t: t, ctx: ctx, state: NewState(), world: NewWorld(ctx), cfg: cfg, jobs: map[string]ledger.Job{}, nodes: make([]*node, 3), deaf: map[int]bool{}}
 		w := c.world
 		w.Every, w.Lease, w.Startup, w.Cancel = 2*time.Second, 12*time.Second, 20*time.Second, 30*time.Second
+		w.Capacity = 50
 		w.Nodes = strings.Fields(names)
 		w.Types = []ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, Zones: []string{"a", "b"}}}
 		w.RunFor = func(string) time.Duration { return 30 * time.Second }
