Records of machines and finished tasks share values; a first report waits for its record

Cause: the service counts changes, not bytes. A record for each of 300 machines took half a minute of the leader's share of the write rate, and finished tasks of 60 jobs 30 changes every two seconds, before which complete jobs waited. Ruled out: a higher share of the write rate, which users' submissions need.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -66,7 +66,6 @@
 	done, stored []uint64 // bit sets of finished tasks, and of those the store has
 	nDone        int
 	dirty        map[int]bool // chunks to be stored
-	flushed      time.Time
 
 	next   int      // tasks from here on were never tried
 	again  []int    // tasks to be tried again
@@ -88,6 +87,11 @@
 	turn       time.Time // its place among jobs of its priority
 }
 
+type closedJob struct {
+	job    string
+	chunks int
+}
+
 func has(set []uint64, i int) bool { return set[i/64]>>(i%64)&1 == 1 }
 
 // Core is the leader's memory for one term.
@@ -109,9 +113,9 @@
 
 	rent       rentState
 	lastRound  time.Time
-	dirty      bool     // something changed since the last placing
-	mostSilent bool     // more machines are silent than heard
-	garbage    []string // store keys that nothing needs any more
+	dirty      bool        // something changed since the last placing
+	mostSilent bool        // more machines are silent than heard
+	closed     []closedJob // whose finished tasks need no record any more
 
 	// Kick lists machines that should hear orders at once, not at their next report.
 	kick map[string]bool
@@ -230,6 +234,7 @@
 		j.over = status
 	}
 	delete(c.jobs, id)
+	c.closed = append(c.closed, closedJob{id, c.chunks(j)})
 	c.resort, c.dirty = true, true
 	var all []*fleet.Attempt
 	for _, m := range c.fleet.Sorted() {
--- a/internal/dispatch/flush.go
+++ b/internal/dispatch/flush.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
@@ -16,7 +17,6 @@
 type write struct {
 	ops   []ledger.Op
 	when  []ledger.Cond
-	bytes int
 	apply func()
 	key   string // of the condition that is its own
 	lost  func() // that condition did not hold
@@ -36,17 +36,31 @@
 	return j.nDone == j.Tasks && !j.finishing && j.Shape != ledger.ShapeService
 }
 
-// writes gathers what is to be stored: jobs that are complete first, then
-// machines about to be used, then ranges of finished tasks.
+// writes gathers what is to be stored next, no more than goes into one commit:
+// jobs that are complete first, then machines about to be used, then finished
+// tasks and machines that are gone. What does not fit waits for the next commit,
+// and what became more urgent meanwhile goes before it.
 func (l *Leader) writes(now time.Time) []write {
 	c := l.core
 	var ws []write
+	ops, bytes := 0, 0
+	fits := func(o, b int) bool {
+		if len(ws) > 0 && (ops+o > l.cfg.Facts.State.TxnOps || bytes+b > mostBytes) {
+			return false
+		}
+		ops, bytes = ops+o, bytes+b
+		return true
+	}
+	const perOp = 300 // what a change takes beside a shelf's entries
 	for _, j := range c.jobs {
 		if !c.complete(j) {
 			continue
 		}
+		if !fits(2, 2*perOp) {
+			return ws
+		}
 		j.finishing = true
-		w := write{
+		ws = append(ws, write{
 			ops: []ledger.Op{
 				{Delete: ledger.OpenKey(j.ID)},
 				{Write: ledger.OverKey(j.ID), Value: ledger.Over{Status: ledger.StatusDone, Tasks: j.Tasks}},
@@ -56,17 +70,7 @@
 			// Its record is no longer as we know it: its user cancelled it, or
 			// this very write went through before. The watch tells.
 			lost: func() { c.CloseJob(j.ID, ledger.StatusCancelled) },
-		}
-		for chunk := range c.chunks(j) {
-			if c.anyStored(j, chunk) {
-				if len(w.ops) < l.cfg.Facts.State.TxnOps {
-					w.ops = append(w.ops, ledger.Op{Delete: ledger.DoneKey(j.ID, chunk)})
-				} else {
-					c.garbage = append(c.garbage, ledger.DoneKey(j.ID, chunk))
-				}
-			}
-		}
-		ws = append(ws, w)
+		})
 	}
 	for _, m := range c.fleet.Sorted() {
 		if !m.Up || m.Recorded || m.Recording || m.Returning || m.Lost {
@@ -74,74 +78,91 @@
 		}
 		m.Recording = true
 		h := ledger.Host{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Stint: m.Stint}
-		ws = append(ws, write{
-			ops: []ledger.Op{{Write: ledger.HostKey(m.Host), Value: h}},
-			apply: func() {
-				l.recs[m.Host] = h
-				m.Recorded, m.Recording = true, false
-			},
-		})
+		raw, err := json.Marshal(h)
+		if err != nil {
+			slog.Error("unwritable record", "machine", m.Host, "err", err)
+			continue
+		}
+		l.hosts.Put(m.Host, raw, len(raw))
 	}
-	for host := range l.recs {
+	for host := range l.hosts.IDs() {
 		if c.fleet.Machines[host] == nil {
-			ws = append(ws, write{
-				ops:   []ledger.Op{{Delete: ledger.HostKey(host)}},
-				apply: func() { delete(l.recs, host) },
-			})
+			l.hosts.Remove(host)
 		}
 	}
-	for _, j := range c.jobs {
-		if j.finishing || len(j.dirty) == 0 || now.Sub(j.flushed) < l.set.Report {
-			continue
+	for _, b := range l.hosts.Changed() {
+		if !fits(1, int(l.cfg.Facts.State.ValueKB*1024)) {
+			return ws
+		}
+		op, _, ids := l.hosts.Take(b)
+		ws = append(ws, write{ops: []ledger.Op{op}, apply: func() {
+			for _, id := range ids {
+				if m := c.fleet.Machines[id]; m != nil {
+					m.Recorded, m.Recording = true, false
+				}
+			}
+			close(l.logged)
+			l.logged = make(chan struct{})
+		}})
+	}
+	for _, id := range c.closed {
+		for chunk := range id.chunks {
+			l.chunks.Remove(ledger.ChunkID(id.job, chunk))
 		}
-		j.flushed = now
+	}
+	c.closed = c.closed[:0]
+	if now.Sub(l.flushed) < l.set.Report {
+		return ws
+	}
+	for _, j := range c.jobs {
 		for chunk := range j.dirty {
-			base := chunk * c.set.ChunkTasks
-			n := min(c.set.ChunkTasks, j.Tasks-base)
-			was := slices.Clone(j.done)
+			n := min(c.set.ChunkTasks, j.Tasks-chunk*c.set.ChunkTasks)
+			raw, err := json.Marshal(ledger.Ranges(func(i int) bool { return has(j.done, chunk*c.set.ChunkTasks+i) }, n))
+			if err == nil {
+				l.chunks.Put(ledger.ChunkID(j.ID, chunk), raw, ledger.ChunkBytes(n))
+			}
 			delete(j.dirty, chunk)
-			ranges := ledger.Ranges(func(i int) bool { return has(j.done, base+i) }, n)
-			ws = append(ws, write{
-				ops:   []ledger.Op{{Write: ledger.DoneKey(j.ID, chunk), Value: ranges}},
-				when:  []ledger.Cond{{Key: ledger.OpenKey(j.ID), Stamp: j.Stamp}},
-				key:   ledger.OpenKey(j.ID),
-				bytes: len(ranges),
-				apply: func() {
-					for i := base; i < base+n; i++ {
-						if has(was, i) {
-							j.stored[i/64] |= 1 << (i % 64)
-						}
-					}
-				},
-				lost: func() {},
-			})
 		}
 	}
-	if len(ws) == 0 && len(c.garbage) > 0 {
-		n := min(len(c.garbage), l.cfg.Facts.State.TxnOps)
-		w := write{}
-		for _, k := range c.garbage[:n] {
-			w.ops = append(w.ops, ledger.Op{Delete: k})
-		}
-		c.garbage = c.garbage[n:]
-		w.apply = func() {}
-		ws = append(ws, w)
+	for _, b := range l.chunks.Changed() {
+		if !fits(1, int(l.cfg.Facts.State.ValueKB*1024)) {
+			return ws
+		}
+		op, _, ids := l.chunks.Take(b)
+		ws = append(ws, write{ops: []ledger.Op{op}, apply: c.stored(ids)})
 	}
+	l.flushed = now
 	return ws
 }
 
-func (c *Core) chunks(j *Job) int { return (j.Tasks + c.set.ChunkTasks - 1) / c.set.ChunkTasks }
-
-func (c *Core) anyStored(j *Job, chunk int) bool {
-	base := chunk * c.set.ChunkTasks
-	for i := base; i < min(base+c.set.ChunkTasks, j.Tasks); i++ {
-		if has(j.stored, i) {
-			return true
+// stored returns what marks the finished tasks of some chunks, as they are now, as
+// stored.
+func (c *Core) stored(ids []string) func() {
+	type was struct {
+		j    *Job
+		base int
+		done []uint64
+	}
+	var all []was
+	for _, id := range ids {
+		job, chunk, _ := ledger.ParseChunkID(id)
+		if j := c.jobs[job]; j != nil && !j.dirty[chunk] {
+			all = append(all, was{j, chunk * c.set.ChunkTasks, slices.Clone(j.done)})
+		}
+	}
+	return func() {
+		for _, w := range all {
+			for i := w.base; i < min(w.base+c.set.ChunkTasks, w.j.Tasks); i++ {
+				if has(w.done, i) {
+					w.j.stored[i/64] |= 1 << (i % 64)
+				}
+			}
 		}
 	}
-	return false
 }
 
+func (c *Core) chunks(j *Job) int { return (j.Tasks + c.set.ChunkTasks - 1) / c.set.ChunkTasks }
+
 // mostBytes keeps a commit well below the service's 64 KiB.
 const mostBytes = 40 << 10
 
@@ -161,22 +182,20 @@
 		if !l.granted() {
 			continue
 		}
-		l.mu.Lock()
-		ws := l.writes(time.Now())
-		l.mu.Unlock()
-		for len(ws) > 0 {
-			n, ops, bytes := 0, 0, 0
-			for n < len(ws) {
-				o, b := len(ws[n].ops), ws[n].bytes+300*len(ws[n].ops)
-				if n > 0 && (ops+o > l.cfg.Facts.State.TxnOps || bytes+b > mostBytes) {
-					break
-				}
-				ops, bytes, n = ops+o, bytes+b, n+1
+		for {
+			l.mu.Lock()
+			ws := l.writes(time.Now())
+			l.mu.Unlock()
+			if len(ws) == 0 {
+				break
+			}
+			ops := 0
+			for _, w := range ws {
+				ops += len(w.ops)
 			}
-			if !l.commit(ctx, ws[:n], ops) {
+			if !l.commit(ctx, ws, ops) {
 				return
 			}
-			ws = ws[n:]
 		}
 	}
 }
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -57,12 +59,15 @@
 	workers Workers
 	quiet   func() time.Duration // since a user was last told of a cancellation here
 
-	term   uint64
-	mu     sync.Mutex
-	core   *Core
-	recs   map[string]ledger.Host // machines that the store has on record
-	loaded chan struct{}
-	wake   chan struct{} // something is to be stored
+	term    uint64
+	mu      sync.Mutex
+	core    *Core
+	hosts   *ledger.Shelf // machines on record
+	chunks  *ledger.Shelf // finished tasks on record
+	loaded  chan struct{}
+	wake    chan struct{} // something is to be stored
+	flushed time.Time     // when finished tasks were last gathered
+	logged  chan struct{} // closed, and replaced, when machines have come on record
 
 	contactMu sync.Mutex
 	contact   time.Time // until then, no cancellation can have been missed
@@ -74,8 +79,8 @@
 	set := SettingsOf(cfg)
 	return &Leader{
 		cfg: cfg, set: set, store: store, cloud: cloud, tenure: ten, peers: peers, workers: workers, quiet: quiet,
-		term: term, core: NewCore(set, term, time.Now()), recs: map[string]ledger.Host{},
-		loaded: make(chan struct{}), wake: make(chan struct{}, 1),
+		term: term, core: NewCore(set, term, time.Now()),
+		loaded: make(chan struct{}), wake: make(chan struct{}, 1), logged: make(chan struct{}),
 	}
 }
 
@@ -157,7 +162,14 @@
 // load reads what earlier terms left: open jobs, finished tasks, machines.
 func (l *Leader) load(ctx context.Context) (uint64, error) {
 	core := NewCore(l.set, l.term, time.Now())
-	recs := map[string]ledger.Host{}
+	shelf := func(prefix string) *ledger.Shelf {
+		n := 0
+		return ledger.NewShelf(prefix, l.cfg.Facts.State.ValueKB, func() string {
+			n++
+			return fmt.Sprintf("%d-%d", l.term, n)
+		})
+	}
+	hosts, chunks := shelf(ledger.PrefixHosts), shelf(ledger.PrefixDone)
 	now, wall := time.Now(), time.Now()
 	epoch, err := l.store.List(ctx, ledger.PrefixOpen, func(r ledger.Row) error {
 		l.addJob(core, r.Key, r.Value, r.Stamp, now, wall)
@@ -166,34 +178,27 @@
 	if err != nil {
 		return 0, err
 	}
-	var orphans []string
-	if _, err := l.store.List(ctx, ledger.PrefixDone, func(r ledger.Row) error {
-		id, chunk, ok := ledger.ParseDoneKey(r.Key)
+	if err := l.loadShelf(ctx, ledger.PrefixDone, chunks, func(id string, v json.RawMessage) error {
+		job, chunk, ok := ledger.ParseChunkID(id)
 		var ranges string
-		if !ok || json.Unmarshal(r.Value, &ranges) != nil {
-			slog.Error("unreadable record", "key", r.Key)
-			return nil
+		if !ok || json.Unmarshal(v, &ranges) != nil {
+			return errors.New("unreadable")
 		}
-		if core.jobs[id] == nil {
-			orphans = append(orphans, r.Key)
-			return nil
-		}
-		if err := core.LoadDone(id, chunk, ranges); err != nil {
-			slog.Error("unreadable record", "key", r.Key, "err", err)
-		}
-		return nil
+		return core.LoadDone(job, chunk, ranges)
 	}); err != nil {
 		return 0, err
 	}
-	if _, err := l.store.List(ctx, ledger.PrefixHosts, func(r ledger.Row) error {
-		var h ledger.Host
-		if err := json.Unmarshal(r.Value, &h); err != nil {
-			slog.Error("unreadable record", "key", r.Key, "err", err)
+	for id := range maps.Clone(chunks.IDs()) {
+		if job, _, _ := ledger.ParseChunkID(id); core.jobs[job] == nil {
+			chunks.Remove(id)
 		}
-		host := strings.TrimPrefix(r.Key, ledger.PrefixHosts)
+	}
+	if err := l.loadShelf(ctx, ledger.PrefixHosts, hosts, func(host string, v json.RawMessage) error {
+		var h ledger.Host
+		err := json.Unmarshal(v, &h)
+		// Whatever is unreadable about it, the machine may hold tasks.
 		core.LoadHost(host, h, now)
-		recs[host] = h
-		return nil
+		return err
 	}); err != nil {
 		return 0, err
 	}
@@ -205,15 +210,33 @@
 			core.SetTypes(t.Types)
 		}
 	}
-	core.garbage = orphans
 	core.checkSettled(now)
-	slog.Info("took over", "term", l.term, "jobs", len(core.jobs), "machines", len(recs))
+	slog.Info("took over", "term", l.term, "jobs", len(core.jobs), "machines", len(core.fleet.Sorted()))
 	l.mu.Lock()
-	l.core, l.recs = core, recs
+	l.core, l.hosts, l.chunks = core, hosts, chunks
 	l.mu.Unlock()
 	return epoch, nil
 }
 
+// loadShelf reads the values of a shelf.
+func (l *Leader) loadShelf(ctx context.Context, prefix string, s *ledger.Shelf, each func(id string, v json.RawMessage) error) error {
+	_, err := l.store.List(ctx, prefix, func(r ledger.Row) error {
+		entries, err := ledger.Entries(prefix, r)
+		if err != nil {
+			slog.Error("unreadable record", "key", r.Key, "err", err)
+			return nil
+		}
+		s.Load(r.Key, entries)
+		for id, v := range entries {
+			if err := each(id, v); err != nil {
+				slog.Error("unreadable record", "key", r.Key, "id", id, "err", err)
+			}
+		}
+		return nil
+	})
+	return err
+}
+
 func (l *Leader) addJob(core *Core, key string, value json.RawMessage, stamp uint64, now, wall time.Time) {
 	var rec ledger.Job
 	if err := json.Unmarshal(value, &rec); err != nil || ledger.OpenKey(rec.ID) != key || rec.Tasks <= 0 {
@@ -298,7 +321,6 @@
 		}
 	}
 	now := time.Now()
-	can := l.mayStart()
 	// Guards against renewing leases while cancellations may be missed, be it in an
 	// outage with others' word for the leadership or with a watch that hangs.
 	if !l.supports(now) {
@@ -316,9 +338,11 @@
 		return 503, fleet.Response{}
 	}
 	l.core.Observe(m)
-	if !m.Recorded && !m.Recording {
-		l.poke()
+	if !m.Recorded && !l.record(m) {
+		return 503, fleet.Response{}
 	}
+	now = time.Now()
+	can := l.mayStart()
 	resp := l.core.Respond(m, can, now)
 	// Guards against a grant that ended while orders were computed: what was
 	// marked as sent is given up when the next report lacks it.
@@ -332,6 +356,27 @@
 	return 200, resp
 }
 
+// record waits a moment, with the lock held before and after, until a new machine is
+// on record: what waits then starts with this answer, and not a report interval
+// later. It says whether the machine's report is still the last we know.
+func (l *Leader) record(m *fleet.Machine) bool {
+	stint, tick := m.Stint, m.Tick
+	over := time.NewTimer(l.set.Report / 4)
+	defer over.Stop()
+	for waiting := true; waiting && !m.Recorded && l.granted(); {
+		logged := l.logged
+		l.mu.Unlock()
+		l.poke()
+		select {
+		case <-logged:
+		case <-over.C:
+			waiting = false
+		}
+		l.mu.Lock()
+	}
+	return l.core.fleet.Machines[m.Host] == m && m.Stint == stint && m.Tick == tick && l.supports(time.Now())
+}
+
 // Unreachable says whether a worker whose report a peer passed on cannot reach
 // us itself.
 func (l *Leader) Unreachable(r *fleet.Report) bool {
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -1,7 +1,9 @@
 package ledger
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 )
@@ -62,7 +64,7 @@
 	Tasks  int    `json:"shots"`
 }
 
-// Host is a machine that may hold tasks.
+// Host is a machine that may hold tasks. Many share a value, by name (Shelf).
 type Host struct {
 	Addr  string `json:"addr"`
 	Type  string `json:"rig"`
@@ -90,30 +92,40 @@
 	Types []MachineType `json:"rigs"`
 }
 
-// OpenKey and its kin name the records of a job or machine.
-func OpenKey(id string) string   { return PrefixOpen + id }
-func OverKey(id string) string   { return PrefixOver + id }
-func HostKey(host string) string { return PrefixHosts + host }
+// OpenKey and its kin name the records of a job.
+func OpenKey(id string) string { return PrefixOpen + id }
+func OverKey(id string) string { return PrefixOver + id }
 
-// DoneKey names a chunk of a job's finished tasks.
-func DoneKey(id string, chunk int) string {
-	return PrefixDone + id + "/" + strconv.Itoa(chunk)
-}
+// ChunkID names a chunk of a job's finished tasks. Many share a value (Shelf).
+func ChunkID(id string, chunk int) string { return id + "/" + strconv.Itoa(chunk) }
 
-// ParseDoneKey is the reverse of DoneKey.
-func ParseDoneKey(key string) (id string, chunk int, ok bool) {
-	rest, ok := strings.CutPrefix(key, PrefixDone)
-	if !ok {
-		return "", 0, false
-	}
-	id, c, ok := strings.Cut(rest, "/")
+// ParseChunkID is the reverse of ChunkID.
+func ParseChunkID(s string) (id string, chunk int, ok bool) {
+	id, c, ok := strings.Cut(s, "/")
 	chunk, err := strconv.Atoi(c)
 	return id, chunk, ok && err == nil && chunk >= 0
 }
 
-// ChunkTasks is how many tasks one done record covers: in the worst pattern,
-// every second task finished, each takes a number of up to five digits and a
-// comma, and all of them fit into a value and, with room to spare, a commit.
+// Entries reads a value that many records share. Before there were any such, each
+// record had a key of its own: the last part of it is then the id.
+func Entries(prefix string, r Row) (map[string]json.RawMessage, error) {
+	var m map[string]json.RawMessage
+	if err := json.Unmarshal(r.Value, &m); err == nil {
+		if _, single := m["rig"]; !single {
+			return m, nil
+		}
+	} else if len(r.Value) == 0 || r.Value[0] != '"' {
+		return nil, fmt.Errorf("record %s: %w", r.Key, err)
+	}
+	return map[string]json.RawMessage{strings.TrimPrefix(r.Key, prefix): r.Value}, nil
+}
+
+// ChunkBytes is the most that the ranges of n tasks take: in the worst pattern,
+// every second task finished, each takes a number of up to five digits and a comma.
+func ChunkBytes(n int) int { return (n+1)/2*(len(strconv.Itoa(n))+1) + 2 }
+
+// ChunkTasks is how many tasks one done record covers: in the worst pattern all of
+// them fit into a value and, with room to spare, a commit.
 func ChunkTasks(valueKB float64) int {
 	return max(64, min(int(valueKB*1024/4), 16384))
 }
