--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -106,7 +106,7 @@
 	}
 	if a.Item == nil {
 		m.Hold(a, &packing.Item{ID: a.Task.String(), Req: j.req})
-		m.UseImage(j.Image)
+		c.useImage(m, j)
 	}
 	fits := j.held[a.Task.N] == nil && !has(j.done, a.Task.N) &&
 		(j.Shape != ledger.ShapeGroup || j.gangTry == 0 || j.gangTry == a.Try)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -372,6 +372,11 @@
 	return nil
 }
 
+// useImage notes that a machine has a job's image, or fetches it.
+func (c *Core) useImage(m *fleet.Machine, j *Job) {
+	m.UseImage(j.Image, j.ImageGB, c.types[m.Type].CacheGB)
+}
+
 // reopen looks anew at which machines take tasks. What a report changes is seen
 // at once; what time alone changes, a few times in a report interval.
 func (c *Core) reopen(now time.Time) {
@@ -488,7 +493,7 @@
 		j := c.jobs[a.Task.Job]
 		runsTotal.Inc()
 		startSeconds.Update(now.Sub(j.Accepted).Seconds())
-		m.UseImage(j.Image)
+		c.useImage(m, j)
 		resp.Orders = append(resp.Orders, fleet.Order{Verb: fleet.VerbRun, Shot: a.Task.String(), Try: a.Try})
 	}
 	if len(resp.Orders) > 0 {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -60,7 +60,7 @@
 
 	ErrorJobs map[string]int // errors by job since the last success
 	Succeeded int
-	Images    []string // fetched here, newest last
+	images    []image // fetched here, the one last used at the end
 
 	Bin      *packing.Bin
 	Forecast *forecast.FUSD
@@ -88,26 +88,31 @@
 
 func ImageMark(image string) string { return "image " + image }
 
-// keepImages is how many of the images last used a machine is believed to hold.
-const keepImages = 8
+// image is one that a machine has, or fetches.
+type image struct {
+	name string
+	gb   float64
+}
 
-// UseImage notes that an image is fetched, or being fetched, here.
-func (m *Machine) UseImage(image string) {
-	if n := len(m.Images); n > 0 && m.Images[n-1] == image {
+// UseImage notes that an image of a size is fetched, or used, on a machine that
+// keeps the images last used, up to its cache's size.
+func (m *Machine) UseImage(name string, gb, cache float64) {
+	if n := len(m.images); n > 0 && m.images[n-1].name == name {
 		return
 	}
-	m.Bin.Mark(ImageMark(image), true)
-	for i, x := range m.Images {
-		if x == image {
-			m.Images = append(m.Images[:i], m.Images[i+1:]...)
-			break
+	m.images = slices.DeleteFunc(m.images, func(i image) bool { return i.name == name })
+	m.images = append(m.images, image{name, gb})
+	m.Bin.Mark(ImageMark(name), true)
+	sum := 0.0
+	for i := len(m.images) - 1; i >= 0; i-- {
+		if sum += m.images[i].gb; sum > cache && i < len(m.images)-1 {
+			for _, old := range m.images[:i+1] {
+				m.Bin.Mark(ImageMark(old.name), false)
+			}
+			m.images = slices.Clone(m.images[i+1:])
+			return
 		}
 	}
-	m.Images = append(m.Images, image)
-	if len(m.Images) > keepImages {
-		m.Bin.Mark(ImageMark(m.Images[0]), false)
-		m.Images = m.Images[1:]
-	}
 }
 
 // Table holds all machines of one term.
--- a/internal/packing/packing.go
+++ b/internal/packing/packing.go
@@ -143,6 +143,9 @@
 	}
 }
 
+// Marked says whether the bin has a mark.
+func (b *Bin) Marked(name string) bool { return slices.Contains(b.marks, name) }
+
 // Used is what the bin's items take together.
 func (b *Bin) Used() Vec { return b.used }
 
