--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -62,6 +62,7 @@
 	Accepted time.Time
 	req      packing.Vec
 	prefer   []string // marks of machines that suit it, the weightiest first
+	alike    int      // a number that jobs share whose tasks fit the same machines; 0: it shares none
 
 	done, stored []uint64 // bit sets of finished tasks, and of those the store has
 	nDone        int
@@ -87,6 +88,34 @@
 	turn       time.Time // its place among jobs of its priority
 }
 
+// plain says whether where a task may go depends on nothing but its size, zone and
+// kind of machine.
+func (j *Job) plain() bool {
+	return len(j.Types) == 0 && !j.OneZone && !j.Apart && j.Shape != ledger.ShapeGroup
+}
+
+// likeness is all that decides whether a plain job's task has room.
+type likeness struct {
+	req  packing.Vec
+	zone string
+	spot bool
+}
+
+// jobOf returns the open job of an attempt, nil if there is none.
+func (c *Core) jobOf(a *fleet.Attempt) *Job {
+	j, ok := a.Job.(*Job)
+	if !ok {
+		if j = c.jobs[a.Task.Job]; j == nil {
+			return nil
+		}
+		a.Job = j
+	}
+	if j.over != "" {
+		return nil
+	}
+	return j
+}
+
 type closedJob struct {
 	job    string
 	chunks int
@@ -100,6 +129,7 @@
 	term    uint64
 	seq     uint64
 	jobs    map[string]*Job
+	alike   map[likeness]int
 	sorted  []*Job
 	resort  bool
 	types   map[string]ledger.MachineType
@@ -124,7 +154,7 @@
 // NewCore starts a term with nothing known.
 func NewCore(set Settings, term uint64, now time.Time) *Core {
 	return &Core{
-		set: set, term: term, jobs: map[string]*Job{}, types: map[string]ledger.MachineType{},
+		set: set, term: term, jobs: map[string]*Job{}, alike: map[likeness]int{}, types: map[string]ledger.MachineType{},
 		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{},
 		rent: newRentState(), spaces: map[string]*packing.Space{},
 	}
@@ -166,7 +196,7 @@
 	if s == nil {
 		s = &packing.Space{Ranked: true, Movable: func(it *packing.Item) bool {
 			a, ok := it.Owner.(*fleet.Attempt)
-			return ok && c.movable(c.jobs[a.Task.Job], a, c.now)
+			return ok && c.movable(c.jobOf(a), a, c.now)
 		}}
 		c.spaces[m.Type] = s
 	}
@@ -191,6 +221,16 @@
 	}
 	age := max(wall.Sub(time.UnixMilli(rec.AcceptedMS)), 0)
 	j.Accepted = now.Add(-age)
+	if j.plain() {
+		f := likeness{req: j.req, spot: j.Spot}
+		if j.Job.Zone != nil {
+			f.zone = *j.Job.Zone
+		}
+		if c.alike[f] == 0 {
+			c.alike[f] = len(c.alike) + 1
+		}
+		j.alike = c.alike[f]
+	}
 	c.jobs[rec.ID] = j
 	c.resort, c.dirty = true, true
 	return j
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -136,7 +136,7 @@
 	for _, m := range c.fleet.Sorted() {
 		for _, a := range m.Attempts() {
 			if a.Present() || planned && a.State == fleet.Planned {
-				if j := c.jobs[a.Task.Job]; j != nil {
+				if j := c.jobOf(a); j != nil {
 					if j.Team == team {
 						sum = sum.Add(j.req)
 					}
@@ -207,23 +207,10 @@
 func (c *Core) place(now time.Time) {
 	c.dirty = false
 	c.reopen(now)
-	type failure struct {
-		req  packing.Vec
-		zone string
-		spot bool
-	}
-	failed := map[failure]bool{}
+	failed := make([]bool, len(c.alike)+1) // by the number of jobs alike
 	used := map[string]packing.Vec{}
 	for _, j := range c.queue(now) {
-		if !c.startable(j, now) || j.peek() < 0 {
-			continue
-		}
-		f := failure{req: j.req, spot: j.Spot}
-		if j.Job.Zone != nil {
-			f.zone = *j.Job.Zone
-		}
-		plain := len(j.Types) == 0 && !j.OneZone && !j.Apart
-		if plain && failed[f] {
+		if j.alike > 0 && failed[j.alike] || !c.startable(j, now) || j.peek() < 0 {
 			continue
 		}
 		limited := c.limited(j.Team)
@@ -240,8 +227,8 @@
 		} else {
 			ok = c.placeTasks(j, used, zones, now)
 		}
-		if !ok && plain && j.Shape != ledger.ShapeGroup && !limited {
-			failed[f] = true
+		if !ok && !limited {
+			failed[j.alike] = true
 		}
 	}
 }
@@ -362,6 +349,7 @@
 			try = c.newTry()
 		}
 		a := c.fleet.Plan(m, fleet.TaskID{Job: j.ID, N: t}, try, it, now)
+		a.Job = j
 		j.held[t] = a
 		m.EmptySince = time.Time{}
 		if rule == packing.FirstFit {
@@ -432,7 +420,7 @@
 // mayRun checks every rule once more, just before a run is written. It looks
 // at what is on machines, runs in flight included, not at what was planned.
 func (c *Core) mayRun(a *fleet.Attempt, now time.Time) bool {
-	j, m := c.jobs[a.Task.Job], a.Machine
+	j, m := c.jobOf(a), a.Machine
 	if j == nil || a.State != fleet.Planned || !c.startable(j, now) || !c.open(m, now) || !m.Recorded {
 		return false
 	}
@@ -467,7 +455,7 @@
 	}
 	for _, a := range m.Attempts() {
 		if a.State == fleet.Ended && a.Cause == fleet.CauseDone && !a.Reap {
-			j := c.jobs[a.Task.Job]
+			j := c.jobOf(a)
 			// A result may be forgotten only once the store has it.
 			a.Reap = j == nil || has(j.stored, a.Task.N)
 		}
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -188,7 +188,7 @@
 	sum := map[string]float64{}
 	for _, m := range c.fleet.Sorted() {
 		for _, a := range m.Attempts() {
-			if j := c.jobs[a.Task.Job]; j != nil && a.Item != nil && j.Shape == ledger.ShapeBatch {
+			if j := c.jobOf(a); j != nil && a.Item != nil && j.Shape == ledger.ShapeBatch {
 				sum[m.Type] += c.remaining(j, a, now) * m.Bin.Cap.Share(a.Item.Req)
 			}
 		}
@@ -211,6 +211,8 @@
 		o := b.Owner.(offer)
 		return j.permits(o.typ, o.zone, o.spot)
 	}
+	// What an empty machine holds of them, worked out once for a type in a row.
+	of, most, takes := "", 0, false
 next:
 	for n > 0 {
 		for _, name := range c.names {
@@ -237,7 +239,10 @@
 		p.counts[o]++
 		p.inZone[o.zone]++
 		p.opened++
-		most, takes := alone(c.capacity(o.typ), j.req)
+		if o.typ != of {
+			of = o.typ
+			most, takes = alone(c.capacity(of), j.req)
+		}
 		k := min(n, most)
 		note(o.typ, k)
 		if n -= k; k < most || takes {
--- a/internal/dispatch/rounds.go
+++ b/internal/dispatch/rounds.go
@@ -118,11 +118,10 @@
 
 // claim is what the choice of victims depends on.
 type claim struct {
-	req        packing.Vec
+	alike      int
 	rank       int
-	team, zone string
+	team       string
 	guaranteed bool
-	spot       bool
 }
 
 // preempt stops work of lower priority, or what another team runs in excess of
@@ -172,16 +171,12 @@
 		if need == 0 {
 			continue
 		}
-		k := claim{req: j.req, rank: prioRank[j.Priority], guaranteed: j.guaranteed, spot: j.Spot}
+		k := claim{alike: j.alike, rank: prioRank[j.Priority], guaranteed: j.guaranteed}
 		if j.guaranteed {
 			k.team = j.Team
 		}
-		if j.Job.Zone != nil {
-			k.zone = *j.Job.Zone
-		}
-		plain := len(j.Types) == 0 && !j.OneZone && !j.Apart
 		list, ok := looked[k]
-		if !plain || !ok {
+		if j.alike == 0 || !ok {
 			list = c.sacrifices(j, excess, now)
 		}
 		for need > 0 {
@@ -213,9 +208,7 @@
 				need--
 			}
 		}
-		if plain {
-			looked[k] = list
-		}
+		looked[k] = list
 	}
 }
 
@@ -256,7 +249,7 @@
 			if a.Stop || !a.Present() || a.State == fleet.Sent || a.Item == nil {
 				continue
 			}
-			vj := c.jobs[a.Task.Job]
+			vj := c.jobOf(a)
 			if vj == nil || vj.Shape != ledger.ShapeBatch {
 				continue
 			}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -26,6 +26,7 @@
 	Reap     bool          // may be removed from the worker's memory
 	Item     *packing.Item // its place in the machine's bin; nil once it has ended
 	Stray    bool          // not an attempt that we count as the task's own
+	Job      any           // whose task it is, for whoever plans; nothing to the table
 	body     uint64        // the machine's body that last had it
 }
 
