--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -62,7 +62,9 @@
 	Accepted time.Time
 	req      packing.Vec
 	prefer   []string // marks of machines that suit it, the weightiest first
+	ready    string   // mark of machines where its image is
 	alike    int      // a number that jobs share whose tasks fit the same machines; 0: it shares none
+	twins    int      // the same of those that also share the image
 
 	done, stored []uint64 // bit sets of finished tasks, and of those the store has
 	nDone        int
@@ -96,9 +98,18 @@
 
 // likeness is all that decides whether a plain job's task has room.
 type likeness struct {
-	req  packing.Vec
-	zone string
-	spot bool
+	req   packing.Vec
+	zone  string
+	spot  bool
+	image string // of jobs that are to start where it is; otherwise ""
+}
+
+// number gives each likeness a number of its own, from 1.
+func (c *Core) number(f likeness) int {
+	if c.alike[f] == 0 {
+		c.alike[f] = len(c.alike) + 1
+	}
+	return c.alike[f]
 }
 
 // jobOf returns the open job of an attempt, nil if there is none.
@@ -131,6 +142,7 @@
 	jobs    map[string]*Job
 	alike   map[likeness]int
 	sorted  []*Job
+	order   []turn // the same jobs as they are placed
 	resort  bool
 	types   map[string]ledger.MachineType
 	names   []string                  // machine types, cheapest first
@@ -214,8 +226,8 @@
 	j := &Job{
 		Job: rec, Stamp: stamp,
 		req:    packing.Vec{CPU: rec.CPUs, GPU: rec.GPUs, Mem: rec.MemGB},
-		prefer: []string{fleet.ImageMark(rec.Image), fleet.SpotMark},
-		done:   make([]uint64, words), stored: make([]uint64, words), listed: make([]uint64, words),
+		prefer: []string{fleet.ImageMark(rec.Image), fleet.SpotMark}, ready: fleet.ReadyMark(rec.Image),
+		done: make([]uint64, words), stored: make([]uint64, words), listed: make([]uint64, words),
 		dirty: map[int]bool{}, held: map[int]*fleet.Attempt{}, strays: map[int]int{},
 		errorHosts: map[string]bool{},
 	}
@@ -226,10 +238,9 @@
 		if j.Job.Zone != nil {
 			f.zone = *j.Job.Zone
 		}
-		if c.alike[f] == 0 {
-			c.alike[f] = len(c.alike) + 1
-		}
-		j.alike = c.alike[f]
+		j.alike = c.number(f)
+		f.image = j.Image
+		j.twins = c.number(f)
 	}
 	c.jobs[rec.ID] = j
 	c.resort, c.dirty = true, true
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -43,6 +43,12 @@
 			c.ended(a, now)
 		}
 	}
+	for _, a := range out.Running {
+		if j := c.jobOf(a); j != nil {
+			c.useImage(m, j)
+			m.Bin.Mark(j.ready, true)
+		}
+	}
 	for _, a := range out.Ended {
 		c.ended(a, now)
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -42,10 +42,58 @@
 			}
 			return x.turn.Before(y.turn)
 		})
+		c.inOrder()
 	}
 	return c.sorted
 }
 
+// turn is a job's place in the order of placing: on machines that have its image,
+// or on any.
+type turn struct {
+	j     *Job
+	at    time.Time
+	ready bool
+}
+
+// inOrder orders the jobs for placing. Where its image has to be fetched first, a
+// job's turn comes later by as long as the fetch takes: the place would stand idle
+// for that time, while a job that came that much later can use it at once. Images
+// can take as long as the tasks, and each machine fetches each for itself.
+func (c *Core) inOrder() {
+	c.order = c.order[:0]
+	for _, j := range c.sorted {
+		fetch := c.fetch(j)
+		if fetch > 0 && j.Shape != ledger.ShapeGroup {
+			c.order = append(c.order, turn{j, j.turn, true})
+		}
+		c.order = append(c.order, turn{j, j.turn.Add(fetch), false})
+	}
+	sort.SliceStable(c.order, func(a, b int) bool {
+		x, y := c.order[a], c.order[b]
+		if x.j.guaranteed != y.j.guaranteed {
+			return x.j.guaranteed
+		}
+		if x.j.rank != y.j.rank {
+			return x.j.rank < y.j.rank
+		}
+		return x.at.Before(y.at)
+	})
+}
+
+// fetch is how long a machine that suits a job takes to fetch its image.
+func (c *Core) fetch(j *Job) time.Duration {
+	rate := 0.0
+	for name, t := range c.types {
+		if j.allowsType(name) {
+			rate = max(rate, t.FetchGBps)
+		}
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(j.ImageGB / rate * float64(time.Second))
+}
+
 // turns orders jobs of one priority: first come first served, but a job waits
 // by as much longer as its work would keep all machines busy. So short jobs
 // pass long ones, and every job's turn comes.
@@ -209,8 +257,13 @@
 	c.reopen(now)
 	failed := make([]bool, len(c.alike)+1) // by the number of jobs alike
 	used := map[string]packing.Vec{}
-	for _, j := range c.queue(now) {
-		if j.alike > 0 && failed[j.alike] || !c.startable(j, now) || j.peek() < 0 {
+	c.queue(now)
+	for _, t := range c.order {
+		j, alike, only := t.j, t.j.alike, ""
+		if t.ready {
+			alike, only = j.twins, j.ready
+		}
+		if alike > 0 && failed[alike] || !c.startable(j, now) || j.peek() < 0 {
 			continue
 		}
 		limited := c.limited(j.Team)
@@ -225,17 +278,17 @@
 		if j.Shape == ledger.ShapeGroup {
 			ok = c.placeGang(j, used, zones, now)
 		} else {
-			ok = c.placeTasks(j, used, zones, now)
+			ok = c.placeTasks(j, only, used, zones, now)
 		}
 		if !ok && !limited {
-			failed[j.alike] = true
+			failed[alike] = true
 		}
 	}
 }
 
-// placeTasks places as many tasks of a job as possible. It returns false when
-// some had no room.
-func (c *Core) placeTasks(j *Job, used map[string]packing.Vec, zones map[string]int, now time.Time) bool {
+// placeTasks places as many tasks of a job as possible, only on machines with a
+// mark unless it is "". It returns false when some had no room.
+func (c *Core) placeTasks(j *Job, only string, used map[string]packing.Vec, zones map[string]int, now time.Time) bool {
 	limited := c.limited(j.Team)
 	for {
 		t := j.peek()
@@ -245,7 +298,7 @@
 		if limited && !c.withinLimit(j, used[j.Team]) {
 			return true
 		}
-		m := c.insertIn(j, t, 0, zones, "", now)
+		m := c.insertIn(j, t, 0, only, zones, "", now)
 		if m == nil {
 			return false
 		}
@@ -297,7 +350,7 @@
 				ok = false
 				break
 			}
-			m := c.insertIn(j, t, try, zn, zone, now)
+			m := c.insertIn(j, t, try, "", zn, zone, now)
 			if m == nil {
 				ok = false
 				break
@@ -327,8 +380,8 @@
 
 // insertIn finds a bin for one task by VISBP's insert, over the machine types
 // that the job allows, cheapest first. Try 0 stands for a new attempt number.
-func (c *Core) insertIn(j *Job, t int, try uint64, zones map[string]int, zone string, now time.Time) *fleet.Machine {
-	it := &packing.Item{ID: j.ID, Req: j.req, Prefer: j.prefer}
+func (c *Core) insertIn(j *Job, t int, try uint64, only string, zones map[string]int, zone string, now time.Time) *fleet.Machine {
+	it := &packing.Item{ID: j.ID, Req: j.req, Prefer: j.prefer, Only: only}
 	ok := func(b *packing.Bin) bool {
 		m := b.Owner.(*fleet.Machine)
 		return j.permits(m.Type, m.Zone, m.Spot) && (zones == nil || j.zoneOK(m.Zone, zones)) &&
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -84,11 +84,14 @@
 	return true
 }
 
-// SpotMark and ImageMark name what tasks may prefer of a machine's bin.
+// SpotMark, ImageMark and ReadyMark name what tasks may prefer of a machine's bin.
 const SpotMark = "spot"
 
 func ImageMark(image string) string { return "image " + image }
 
+// ReadyMark is the mark of a machine where an image has been used, not only asked for.
+func ReadyMark(image string) string { return "ready " + image }
+
 // image is one that a machine has, or fetches.
 type image struct {
 	name string
@@ -109,6 +112,7 @@
 		if sum += m.images[i].gb; sum > cache && i < len(m.images)-1 {
 			for _, old := range m.images[:i+1] {
 				m.Bin.Mark(ImageMark(old.name), false)
+				m.Bin.Mark(ReadyMark(old.name), false)
 			}
 			m.images = slices.Clone(m.images[i+1:])
 			return
@@ -212,6 +216,7 @@
 	Machine *Machine   // nil only when the body makes no sense
 	New     []*Attempt // on the machine, but unknown to us
 	Ended   []*Attempt // newly ended
+	Running []*Attempt // newly running: their images are there
 	Gone    []*Attempt // no longer on the machine, without a result
 	Settled bool       // the machine has just become settled
 	First   bool       // the machine's first body
@@ -263,6 +268,7 @@
 			m.order = append(m.order, a)
 			if st == Running {
 				a.RunSince = now
+				out.Running = append(out.Running, a)
 			}
 			out.New = append(out.New, a)
 			out.Changed = true
@@ -276,6 +282,7 @@
 			out.Changed = true
 			if st == Running && a.RunSince.IsZero() {
 				a.RunSince = now
+				out.Running = append(out.Running, a)
 			}
 		}
 		a.State, a.Cause, a.Saved = st, tr.Cause, tr.Saved
--- a/internal/packing/packing.go
+++ b/internal/packing/packing.go
@@ -75,6 +75,7 @@
 	Req     Vec
 	Movable bool     // may be moved merely to fill or empty a bin, unless its space knows better
 	Prefer  []string // marks of bins to prefer, the weightiest first
+	Only    string   // a mark that the bin must have; then it goes by the paper's rules or nowhere
 	Owner   any      // whose item it is; nothing to the packing
 	kind    Kind
 }
@@ -298,7 +299,7 @@
 	if b := o.best(it, isEmpty); b != nil {
 		return b, Paper
 	}
-	if !o.s.OnlyPaper {
+	if !o.s.OnlyPaper && it.Only == "" {
 		if b := o.best(it, isAny); b != nil {
 			return b, FirstFit
 		}
--- a/internal/packing/packing_test.go
+++ b/internal/packing/packing_test.go
@@ -127,7 +127,8 @@
 	var found *Bin
 	var rank float64
 	for _, b := range s.Bins {
-		if !b.open || is>>b.kindOf()&1 == 0 || !b.Fits(it.Req) || (ok != nil && !ok(b)) {
+		if !b.open || is>>b.kindOf()&1 == 0 || !b.Fits(it.Req) || (ok != nil && !ok(b)) ||
+			it.Only != "" && !b.Marked(it.Only) {
 			continue
 		}
 		if !s.Ranked {
@@ -174,6 +175,9 @@
 			default:
 				it := &Item{Req: Vec{CPU: float64(r.IntN(17)) / 4, GPU: float64(r.IntN(2) * r.IntN(2)), Mem: float64(r.IntN(17))}}
 				it.Prefer = names[r.IntN(2):][:r.IntN(2)+1]
+				if r.IntN(4) == 0 {
+					it.Only = names[r.IntN(2)]
+				}
 				var ok func(*Bin) bool
 				if r.IntN(3) == 0 {
 					ok = func(b *Bin) bool { return b.pos%3 > 0 }
--- a/internal/packing/space.go
+++ b/internal/packing/space.go
@@ -193,6 +193,10 @@
 // search finds the best open bin of the given kinds that an item fits into.
 func (s *Space) search(it *Item, is kinds, ok func(*Bin) bool) *Bin {
 	fits := func(b *Bin) bool { return b.Fits(it.Req) && (ok == nil || ok(b)) }
+	only := s.marked[it.Only]
+	if it.Only != "" && only == nil {
+		return nil
+	}
 	from := step(least(s.Bins[0].Cap, it.Req) - 1e-6)
 	var room [steps + 1]kinds // by step, the kinds of which there are bins
 	var all kinds
@@ -213,6 +217,9 @@
 			for g := from; g <= steps; g++ {
 				x |= s.word(room[g], g, w)
 			}
+			if only != nil {
+				x &= only[w]
+			}
 			for x &= s.open[w]; x != 0; x &= x - 1 {
 				if b := s.Bins[w*64+bits.TrailingZeros64(x)]; fits(b) {
 					return b
@@ -230,6 +237,9 @@
 			var found *Bin
 			for w := range s.open {
 				x := s.word(room[g], g, w) & s.open[w]
+				if only != nil {
+					x &= only[w]
+				}
 				for i, name := range it.Prefer {
 					if x == 0 {
 						break
