--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -32,21 +32,23 @@
 		})
 		c.guarantees()
 		c.turns(now)
-		sort.SliceStable(c.sorted, func(a, b int) bool {
-			x, y := c.sorted[a], c.sorted[b]
-			if x.guaranteed != y.guaranteed {
-				return x.guaranteed
-			}
-			if x.rank != y.rank {
-				return x.rank < y.rank
-			}
-			return x.turn.Before(y.turn)
-		})
+		sort.SliceStable(c.sorted, func(a, b int) bool { return before(c.sorted[a], c.sorted[b]) })
 		c.inOrder()
 	}
 	return c.sorted
 }
 
+// before says whether a job is served before another.
+func before(x, y *Job) bool {
+	if x.guaranteed != y.guaranteed {
+		return x.guaranteed
+	}
+	if x.rank != y.rank {
+		return x.rank < y.rank
+	}
+	return x.turn.Before(y.turn)
+}
+
 // turn is a job's place in the order of placing: on machines that have its image,
 // or on any.
 type turn struct {
@@ -385,7 +387,7 @@
 	ok := func(b *packing.Bin) bool {
 		m := b.Owner.(*fleet.Machine)
 		return j.permits(m.Type, m.Zone, m.Spot) && (zones == nil || j.zoneOK(m.Zone, zones)) &&
-			(zone == "" || m.Zone == zone)
+			(zone == "" || m.Zone == zone) && !spared(m, j)
 	}
 	for _, name := range c.names {
 		s := c.spaces[name]
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -66,6 +66,7 @@
 	Bin      *packing.Bin
 	Forecast *forecast.FUSD
 	Changed  []packing.Kind // kinds of the items that left since the last round
+	Kept     any            // for whose sake it empties, for whoever plans; nothing to the table
 
 	order []*Attempt // in the order they were added
 	body  uint64     // counts the bodies taken in
