Turns by what the next objective leaves; standard and low work in one order

Cause: low work that had aged went before all standard work, late jobs before those that could still be in time.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,6 +61,12 @@
 	GPUsMax float64 `toml:"gpus_max"`
 }
 
+// Kinds of objectives that say when: the others do not bear on the order of work.
+const (
+	KindWait     = "wait"
+	KindDeadline = "deadline"
+)
+
 // Objective is what users expect of a class of jobs.
 type Objective struct {
 	Kind    string  `toml:"kind"`
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -86,7 +86,8 @@
 	gangTry    uint64
 	gangBroken bool
 	guaranteed bool
-	rank       int       // priority, the highest being 0; low work rises with time
+	targets    []float64 // when it should be complete, in seconds from its acceptance
+	rank       int       // of its priority, the highest being 0; odd ones are late
 	turn       time.Time // its place among jobs of its priority
 }
 
@@ -233,6 +234,7 @@
 	}
 	age := max(wall.Sub(time.UnixMilli(rec.AcceptedMS)), 0)
 	j.Accepted = now.Add(-age)
+	j.targets = c.targets(j)
 	if j.plain() {
 		f := likeness{req: j.req, spot: j.Spot}
 		if j.Job.Zone != nil {
--- /dev/null
+++ b/internal/dispatch/order.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"drumpick/internal/config"
+	"drumpick/internal/ledger"
+	"drumpick/internal/packing"
+)
+
+var prioRank = map[string]int{
+	ledger.PrioCritical: 0, ledger.PrioUrgent: 1, ledger.PrioNormal: 2, ledger.PrioLow: 3,
+}
+
+// queue returns the open jobs in the order in which they are served.
+func (c *Core) queue(now time.Time) []*Job {
+	if c.resort {
+		c.resort = false
+		c.sorted = c.sorted[:0]
+		for _, j := range c.jobs {
+			c.sorted = append(c.sorted, j)
+		}
+		sort.Slice(c.sorted, func(a, b int) bool {
+			x, y := c.sorted[a], c.sorted[b]
+			if !x.Accepted.Equal(y.Accepted) {
+				return x.Accepted.Before(y.Accepted)
+			}
+			return x.ID < y.ID
+		})
+		c.guarantees()
+		c.turns(now)
+		sort.SliceStable(c.sorted, func(a, b int) bool { return before(c.sorted[a], c.sorted[b]) })
+		c.inOrder()
+	}
+	return c.sorted
+}
+
+// before says whether a job is served before another.
+func before(x, y *Job) bool {
+	if x.guaranteed != y.guaranteed {
+		return x.guaranteed
+	}
+	if x.rank != y.rank {
+		return x.rank < y.rank
+	}
+	return x.turn.Before(y.turn)
+}
+
+// turn is a job's place in the order of placing: on machines that have its image,
+// or on any.
+type turn struct {
+	j     *Job
+	at    time.Time
+	ready bool
+}
+
+// inOrder orders the jobs for placing. Where its image has to be fetched first, a
+// job's turn comes later by as long as the fetch takes: the place would stand idle
+// for that time, while a job that came that much later can use it at once. Images
+// can take as long as the tasks, and each machine fetches each for itself.
+func (c *Core) inOrder() {
+	c.order = c.order[:0]
+	for _, j := range c.sorted {
+		fetch := c.fetch(j)
+		if fetch > 0 && j.Shape != ledger.ShapeGroup {
+			c.order = append(c.order, turn{j, j.turn, true})
+		}
+		c.order = append(c.order, turn{j, j.turn.Add(fetch), false})
+	}
+	sort.SliceStable(c.order, func(a, b int) bool {
+		x, y := c.order[a], c.order[b]
+		if x.j.guaranteed != y.j.guaranteed {
+			return x.j.guaranteed
+		}
+		if x.j.rank != y.j.rank {
+			return x.j.rank < y.j.rank
+		}
+		return x.at.Before(y.at)
+	})
+}
+
+// fetch is how long a machine that suits a job takes to fetch its image.
+func (c *Core) fetch(j *Job) time.Duration {
+	rate := 0.0
+	for name, t := range c.types {
+		if j.allowsType(name) {
+			rate = max(rate, t.FetchGBps)
+		}
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(j.ImageGB / rate * float64(time.Second))
+}
+
+// turns orders the jobs. Critical and urgent work goes before the rest; within
+// that, a job's turn is its acceptance, put off by a share of the time that its
+// class's next objective leaves it, and by as much as its own work would keep all
+// machines busy, some times over. So work with little time passes work with much,
+// short jobs pass long ones, and every job's turn comes. A job that can no longer
+// meet any objective lets those pass that can, until it is very late.
+func (c *Core) turns(now time.Time) {
+	up := 0
+	for _, m := range c.fleet.Sorted() {
+		if m.Up && !m.Lost && !m.Returning {
+			up++
+		}
+	}
+	for _, j := range c.sorted {
+		j.rank = 2 * min(prioRank[j.Priority], prioRank[ledger.PrioNormal])
+		age := now.Sub(j.Accepted).Seconds()
+		last := j.targets[len(j.targets)-1]
+		next := last
+		for _, t := range j.targets {
+			if age+j.EstimateS*surelyRuns <= t {
+				next = t
+				break
+			}
+		}
+		if age+j.EstimateS*surelyRuns > last && age < veryLate*last {
+			j.rank++
+		}
+		work := float64(j.Tasks-j.nDone) * j.EstimateS * c.smallestShare(j)
+		off := slackShare*max(next-j.EstimateS*likelyRuns, 0) + turnWeight*work/float64(max(up, 1))
+		j.turn = j.Accepted.Add(time.Duration(off * float64(time.Second)))
+	}
+}
+
+// targets lists, in seconds from its acceptance, when a job should be complete by
+// its class's objectives, the soonest first.
+func (c *Core) targets(j *Job) []float64 {
+	var ts []float64
+	for _, o := range c.set.Objectives {
+		switch {
+		case o.Class != j.Class:
+		case o.Kind == config.KindDeadline && j.DeadlineS != nil:
+			ts = append(ts, *j.DeadlineS*max(o.Times, 1))
+		case o.Kind == config.KindWait:
+			ts = append(ts, o.WithinS+j.EstimateS)
+		case o.WithinS > 0:
+			ts = append(ts, o.WithinS)
+		}
+	}
+	if j.DeadlineS != nil && len(ts) == 0 {
+		ts = append(ts, *j.DeadlineS)
+	}
+	if len(ts) == 0 {
+		ts = append(ts, noTarget*c.set.Report.Seconds())
+	}
+	slices.Sort(ts)
+	return ts
+}
+
+const (
+	// turnWeight is how often over its own work puts a job's turn off.
+	turnWeight = 3
+	// slackShare is the share of the time left by the next objective that does.
+	slackShare = 0.5
+	// likelyRuns is how many times the estimate the slowest task of a job may run.
+	likelyRuns = 1.5
+	// surelyRuns is the share of the owner's estimate that a task surely runs.
+	surelyRuns = 0.5
+	// veryLate is when, in times of its last objective, a late job waits no longer.
+	veryLate = 3
+	// noTarget stands in, in report intervals, for classes without an objective.
+	noTarget = 100
+)
+
+// smallestShare is what a task takes of the machine type that suits it best.
+func (c *Core) smallestShare(j *Job) float64 {
+	share := 1.0
+	for name, t := range c.types {
+		if j.allowsType(name) {
+			share = min(share, packing.Vec{CPU: t.CPUs, GPU: t.GPUs, Mem: t.MemGB}.Share(j.req))
+		}
+	}
+	return share
+}
+
+// guarantees marks the jobs that fit, together with their team's earlier
+// unfinished ones, into what their team is guaranteed.
+func (c *Core) guarantees() {
+	sum := map[string]packing.Vec{}
+	for _, j := range c.sorted {
+		j.guaranteed = false
+		t, ok := c.set.Teams[j.Team]
+		if !ok || t.CPUs == 0 && t.GPUs == 0 {
+			continue
+		}
+		n := float64(j.Tasks - j.nDone)
+		s := sum[j.Team].Add(packing.Vec{CPU: n * j.CPUs, GPU: n * j.GPUs})
+		sum[j.Team] = s
+		j.guaranteed = s.CPU <= t.CPUs+1e-9 && s.GPU <= t.GPUs+1e-9
+	}
+}
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -233,7 +233,7 @@
 		// Guards against a job that waits for ever because the machines at hand count as
 		// enough, while none of them may or can take it.
 		wait := time.Duration(float64(c.startup(o.typ)) * horizonDear)
-		if j.rank <= 1 || j.guaranteed || now.Sub(j.Accepted) > wait || !c.anyPermits(j, p.counts) {
+		if prioRank[j.Priority] <= 1 || j.guaranteed || now.Sub(j.Accepted) > wait || !c.anyPermits(j, p.counts) {
 			p.urgent[o]++
 		}
 		p.counts[o]++
