Takeover: gone machines known sooner, the last few silent ones given back, lists not behind rentals

A list now counts from twice its lag after the takeover; it is read oftener until all is settled; one rental request at a time for each type, zone and kind; when at most a twentieth is unheard after two report intervals, it is given back.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -158,6 +158,7 @@
 	lastRound  time.Time
 	dirty      bool        // something changed since the last placing
 	mostSilent bool        // more machines are silent than heard
+	fewUnheard bool        // of the machines on record at the takeover, few have not been heard
 	closed     []closedJob // whose finished tasks need no record any more
 
 	// Kick lists machines that should hear orders at once, not at their next report.
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -534,17 +534,21 @@
 
 // lists reads the cloud's list of machines now and then.
 func (l *Leader) lists(ctx context.Context) {
-	every := l.set.ListLag + l.set.Report
 	for ctx.Err() == nil {
+		every := l.set.ListLag + l.set.Report
 		asked := time.Now()
 		list, err := l.cloud.List(ctx)
 		if err == nil {
 			l.mu.Lock()
 			l.core.Listed(list, asked, time.Now())
+			if !l.core.settled {
+				every = l.set.ListLag / 2 // work waits to hear which machines are gone
+			}
 			l.mu.Unlock()
 		} else {
 			slog.Debug("cloud: no list", "err", err)
 		}
+		every = max(every, l.set.Report/4)
 		if ledger.Sleep(ctx, every*3/4+rand.N(every/2)) != nil {
 			return
 		}
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -22,7 +22,7 @@
 	refused  map[offer]time.Time
 	inflight map[string]rental.Request
 	returned map[string]time.Time // given back: may still be listed for a while
-	listed   map[string]time.Time // when the list that last had it was asked for
+	listed   map[string]time.Time // until when it is known to have been listed, or up
 	ready    bool                 // a list has been read under this term
 }
 
@@ -86,7 +86,11 @@
 			p.add(offer{m.Type, m.Zone, m.Spot}, c.capacity(m.Type))
 		}
 	}
+	// One request at a time for each type, zone and kind: what one is refused, the
+	// next would be refused as well, and the cloud takes few calls.
+	asked := map[offer]bool{}
 	for _, r := range c.rent.inflight {
+		asked[offer{r.Type, r.Zone, r.Spot}] = true
 		for range r.Count {
 			p.add(offer{r.Type, r.Zone, r.Spot}, c.capacity(r.Type))
 		}
@@ -119,14 +123,13 @@
 			n = min(n, max(most, p.urgent[o]))
 		}
 		have[o.typ] += max(n, 0)
-		for n > 0 {
-			k := min(n, rental.MostCount)
-			n -= k
-			term, seq := c.Name()
-			r := rental.Request{Booking: fmt.Sprintf("r-%d-%d", term, seq), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: k}
-			c.rent.inflight[r.Booking] = r
-			reqs = append(reqs, r)
+		if n <= 0 || asked[o] {
+			continue
 		}
+		term, seq := c.Name()
+		r := rental.Request{Booking: fmt.Sprintf("r-%d-%d", term, seq), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(n, rental.MostCount)}
+		c.rent.inflight[r.Booking] = r
+		reqs = append(reqs, r)
 	}
 	return reqs
 }
@@ -350,6 +353,8 @@
 		}
 	}
 	c.mostSilent = silent > 2 && 2*silent > up
+	inherited, unheard := c.fleet.Inherited()
+	c.fewUnheard = float64(unheard) <= fewShare*float64(inherited)
 	for _, m := range c.fleet.Sorted() {
 		if m.Returning && len(hosts) < rental.MostNames {
 			hosts = append(hosts, m.Host) // an earlier try had no answer
@@ -365,6 +370,14 @@
 	return hosts
 }
 
+const (
+	// fewShare is the share of machines on record whose work is worth less than the
+	// wait of all others, and fewReports how many report intervals all are given to
+	// find the new leader: they try the old one for up to two.
+	fewShare   = 1.0 / 20
+	fewReports = 2
+)
+
 func (c *Core) giveBack(m *fleet.Machine, now time.Time) bool {
 	startup := max(c.startup(m.Type), c.set.Report)
 	switch {
@@ -374,8 +387,11 @@
 		return !c.mostSilent || now.Sub(m.LastBody) > 4*c.set.Lease
 	case m.Inherited && !m.Settled:
 		// Unheard of since the takeover. Time alone does not settle it, as an
-		// older leader may be renewing its lease; its return does.
-		return now.Sub(m.SilentSince) > c.set.Lease
+		// older leader may be renewing its lease; its return does. All work of before
+		// stands still until then: the last few that neither report nor answer are not
+		// waited for as long as their work would be worth it alone.
+		silent := now.Sub(m.SilentSince)
+		return silent > c.set.Lease || c.fewUnheard && silent > fewReports*c.set.Report
 	case !m.Up:
 		return !m.Rented.IsZero() && now.Sub(m.Rented) > 3*startup+c.set.Report
 	case !m.Empty():
@@ -412,7 +428,7 @@
 	here := map[string]bool{}
 	for _, l := range list {
 		here[l.Host] = true
-		c.rent.listed[l.Host] = asked
+		c.rent.listed[l.Host] = now
 		if _, gone := c.rent.returned[l.Host]; gone {
 			continue
 		}
@@ -450,11 +466,10 @@
 			m.Rented = now.Add(-time.Duration(l.AgeS * float64(time.Second)))
 		}
 	}
-	// A list may be older than the one before, by as much as twice the lag, and the
-	// one that had the machine may have taken a while to come. A machine that was in
-	// a list asked for well before that, and is missing now, is gone.
+	// A list tells how things were up to twice the lag before it was asked for. A
+	// machine that was there before that time, and is missing, is gone.
 	for _, m := range c.fleet.Sorted() {
-		if last, ok := c.rent.listed[m.Host]; ok && !here[m.Host] && asked.Sub(last) > 2*c.set.ListLag+3*c.set.Report {
+		if last, ok := c.rent.listed[m.Host]; ok && !here[m.Host] && asked.Sub(last) > c.set.ListLag*5/2+c.set.Report/4 {
 			slog.Info("machine gone", "machine", m.Host, "term", c.term)
 			c.rent.returned[m.Host] = now
 			c.DropMachine(m.Host, now)
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -358,6 +358,20 @@
 	return gone
 }
 
+// Inherited counts the machines that earlier terms may have used, and those of
+// them still unheard of under ours.
+func (t *Table) Inherited() (all, unheard int) {
+	for _, m := range t.sorted {
+		if m.Inherited {
+			all++
+			if !m.Settled {
+				unheard++
+			}
+		}
+	}
+	return all, unheard
+}
+
 // Unsettled tells whether a machine that earlier terms may have used is still
 // unheard of under ours.
 func (t *Table) Unsettled() bool {
--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -56,15 +56,25 @@
 type Client struct {
 	link    *link.Client
 	limit   *rate.Limiter
+	rents   *rate.Limiter // besides: what rentals may take of it
 	timeout time.Duration
 }
 
-// NewClient returns a client that keeps to a share of the cloud's rate.
+// Shares of the cloud's rate: all calls together, and rentals among them.
+const (
+	allShare  = 0.9
+	rentShare = 0.5
+)
+
+// NewClient returns a client that keeps to a share of the cloud's rate. Rentals have
+// a smaller one: while the cloud refuses, they are tried again and again, and lists
+// and returns, on which a takeover waits, must not queue behind them.
 func NewClient(addr string, rps float64, timeout time.Duration) *Client {
-	r := rps * 0.8
+	limiter := func(r float64) *rate.Limiter { return rate.NewLimiter(rate.Limit(r), max(int(r), 1)) }
 	return &Client{
 		link:    link.New(addr, 8, timeout/2),
-		limit:   rate.NewLimiter(rate.Limit(r), max(int(r), 1)),
+		limit:   limiter(rps * allShare),
+		rents:   limiter(rps * rentShare),
 		timeout: timeout,
 	}
 }
@@ -123,6 +133,9 @@
 	var out struct {
 		Hosts []string `json:"hosts"`
 	}
+	if err := c.rents.Wait(ctx); err != nil {
+		return nil, err
+	}
 	err := c.call(ctx, "POST", "/machines", r, &out)
 	return out.Hosts, err
 }
