--- a/internal/dispatch/rounds.go
+++ b/internal/dispatch/rounds.go
@@ -296,7 +296,7 @@
 }
 
 // keepShare bounds how many of the machines may be emptying for larger tasks.
-const keepShare = 1.0 / 8
+const keepShare = 1.0 / 4
 
 // keep sets machines aside for tasks that are larger than others which wait: from
 // these a kept machine takes only what has its turn before. Guards against large
