--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -63,7 +63,7 @@
 func (c *Core) inOrder() {
 	c.order = c.order[:0]
 	for _, j := range c.sorted {
-		fetch := c.fetch(j)
+		fetch := 2 * c.fetch(j)
 		if fetch > 0 && j.Shape != ledger.ShapeGroup {
 			c.order = append(c.order, turn{j, j.turn, true})
 		}
