--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -29,6 +29,7 @@
 	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]ledger.Event, uint64, error)
 	WaitBatch(ctx context.Context, n int) error
 	Health() (lastOK time.Time, failing bool, started time.Time)
+	FailedSince(t time.Time) bool
 }
 
 type Cloud interface {
@@ -632,6 +633,7 @@
 // answers only for the time since, so a gap ends it. If one is served while we
 // are not, we are the odd one out and step down.
 func (l *Leader) confirm(ctx context.Context) {
+	odd := time.Time{} // since when others are served and we are not
 	for ledger.Sleep(ctx, l.set.Report/2) == nil {
 		lastOK, failing, _ := l.store.Health()
 		if !failing || time.Since(lastOK) < l.set.Report/2 {
@@ -651,7 +653,14 @@
 			// cannot lead either, however short that is.
 			vouched = vouched && (!a.Answered || since-config.Drift(since) >= ended)
 		}
-		if served && time.Since(lastOK) > l.set.Report {
+		if !served {
+			odd = time.Time{}
+		} else if odd.IsZero() {
+			odd = asked
+		}
+		// Guards against the end of an outage that all shared: whoever asks first is
+		// served first. Only a request of ours that failed after that tells.
+		if served && time.Since(lastOK) > l.set.Report && l.store.FailedSince(odd) && asked.Sub(odd) >= l.set.Report/2 {
 			slog.Info("refused by the store alone: stepping down", "term", l.term)
 			l.tenure.Resign()
 			return
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -111,6 +111,13 @@
 	return c.lastOK, c.lastFail.After(c.lastOK), c.started
 }
 
+// FailedSince says whether the last request failed, later than t.
+func (c *Client) FailedSince(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastFail.After(c.lastOK) && c.lastFail.After(t)
+}
+
 func (c *Client) note(ok bool) {
 	now := time.Now()
 	c.mu.Lock()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -214,6 +214,13 @@
 	return c.lastOK, c.failed.After(c.lastOK), c.started
 }
 
+// FailedSince says whether the last request failed, later than t.
+func (c *Client) FailedSince(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed.After(c.lastOK) && c.failed.After(t)
+}
+
 // WaitBatch never waits.
 func (c *Client) WaitBatch(ctx context.Context, _ int) error { return ctx.Err() }
 
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -448,6 +448,31 @@
 	})
 }
 
+// At the end of an outage somebody is served first. The leader, served a moment
+// later, goes on leading: stepping down would cost a grant and a takeover.
+func TestOutageEndsForOthersFirst(t *testing.T) {
+	play(t, func(c *cluster) {
+		sleep(2)
+		c.submit(0, ledger.Job{ID: "j-1", Tasks: 6, EstimateS: 30})
+		sleep(32)
+		old := c.leading()
+		c.state.Outage(true)
+		sleep(10)
+		c.state.Refuse(strings.Fields(names)[old], true)
+		c.state.Outage(false)
+		sleep(0.9)
+		c.state.Refuse(strings.Fields(names)[old], false)
+		for range 10 {
+			sleep(1)
+			if now := c.leading(); now != old {
+				t.Fatalf("node %d leads after the outage, node %d did before", now, old)
+			}
+		}
+		sleep(60)
+		c.wantDone(old, "j-1")
+	})
+}
+
 // Note 19: a leader that the store refuses alone steps down, and users are
 // served through the others.
 func TestRefusedAlone(t *testing.T) {
