Floods of polls and submissions take their share of the store; sockets for every worker

Cause, by reading: a poll for an unknown job took four reads and every repeated submission a change, so that a flood could take the leader's lease; 600 of 1200 sockets for workers and users were fewer than 450 workers and 170 users that one controller is left with; calls to 450 workers at a takeover kept as many connections open for a minute. Two reads prove that there is no such job, since final states stay for good; polls have their share of the store's rate and are told at once to come back beyond it; a known job is not committed again. Test: TestFlood.

--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return fmt.Errorf("back %s: %w", cfg.Back, err)
 	}
-	backApp := newApp(res.FDLimit / 8)
+	backApp := newApp(res.FDLimit / 16)
 	peer.Mount(backApp, peer.Handlers{
 		Status: func() peer.Status {
 			return peer.StatusOf(cfg.Node, store, server.Quiet())
@@ -83,7 +83,9 @@
 		metrics.WritePrometheus(c.Response().BodyWriter(), true)
 		return nil
 	})
-	app := newApp(res.FDLimit / 2)
+	// Every worker keeps a connection to the leader; users come beside them. The rest
+	// is for calls: to the store and peers, and to workers one after the other.
+	app := newApp(res.FDLimit * 3 / 4)
 	server.Mount(app)
 
 	failed := make(chan error, 2)
--- a/internal/fleet/caller.go
+++ b/internal/fleet/caller.go
@@ -45,6 +45,7 @@
 			}
 		}
 		hc = link.New(addr, 2, c.timeout/2)
+		hc.Once = true
 		c.clients[addr] = hc
 	}
 	return hc
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -17,6 +17,7 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/utils"
+	"golang.org/x/time/rate"
 )
 
 // Store is what intake needs of the state service.
@@ -49,10 +50,12 @@
 	peers  Peers
 	leader func() string // node that leads, "" when unknown
 	local  func() Local  // nil when this process does not lead
+	reads  *rate.Limiter // what polls may take of the store's request rate
 
 	mu     sync.Mutex
 	types  []ledger.MachineType
 	over   map[string]ledger.Over // final states never change
+	known  map[string]bool        // jobs that were accepted, as far as remembered
 	told   time.Time              // when a user was last told of a cancellation
 	served bool                   // the store serves another controller, but not this one
 	asked  bool                   // the others were asked since the store failed this one
@@ -60,12 +63,19 @@
 
 // New returns a server.
 func New(cfg *config.Config, store Store, peers Peers, leader func() string, local func() Local) *Server {
+	share := cfg.Facts.State.RPS * pollShare
 	return &Server{
 		cfg: cfg, store: store, peers: peers, leader: leader, local: local,
-		over: map[string]ledger.Over{}, told: time.Now(),
+		reads: rate.NewLimiter(rate.Limit(share/float64(max(cfg.Facts.Nodes, 1))), max(int(share), 1)),
+		over:  map[string]ledger.Over{}, known: map[string]bool{}, told: time.Now(),
 	}
 }
 
+// pollShare is the share of the store's request rate that polls may take. Guards
+// against polls, for unknown jobs or by the thousand, that leave the leader's lease
+// and submissions without an answer: beyond it a poll is told at once to come back.
+const pollShare = 0.6
+
 // SetTypes tells which machine types there are.
 func (s *Server) SetTypes(t []ledger.MachineType) {
 	s.mu.Lock()
@@ -213,6 +223,13 @@
 		}
 		return fail(422, why)
 	}
+	if s.isKnown(j.ID) {
+		// A commit that fails would count as a change all the same, and the store
+		// takes few.
+		if a := s.poll(ctx, j.ID); a.status != 404 {
+			return a
+		}
+	}
 	j.AcceptedMS = time.Now().UnixMilli()
 	for range 3 {
 		_, err = s.store.Commit(ctx,
@@ -221,9 +238,11 @@
 		var conflict *ledger.ConflictError
 		switch {
 		case err == nil:
+			s.setKnown(j.ID)
 			slog.Info("job accepted", "job", j.ID, "class", j.Class, "tasks", j.Tasks)
 			return answer{201, state{ID: j.ID, Status: ledger.StatusPending}}
 		case errors.As(err, &conflict):
+			s.setKnown(j.ID)
 			a := s.poll(ctx, j.ID)
 			if a.status != 404 {
 				return a
@@ -238,6 +257,31 @@
 	return errAway
 }
 
+func (s *Server) isKnown(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known[id]
+}
+
+func (s *Server) setKnown(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	forgetHalf(s.known)
+	s.known[id] = true
+}
+
+// forgetHalf bounds a memory: when it is full, half of it goes.
+func forgetHalf[V any](m map[string]V) {
+	if len(m) < mostRemembered {
+		return
+	}
+	for k := range m {
+		if delete(m, k); len(m) < mostRemembered/2 {
+			return
+		}
+	}
+}
+
 func (s *Server) remembered(id string) (answer, bool) {
 	s.mu.Lock()
 	o, ok := s.over[id]
@@ -253,34 +297,30 @@
 	return answer{200, state{ID: id, Status: o.Status, Done: &done, Running: &running}}
 }
 
-// mostRemembered bounds the memory for final states.
+// mostRemembered bounds the memory for final states and for accepted ids.
 const mostRemembered = 20_000
 
 // lookup reads a job afresh: its open record, or its final state. Both nil
 // means that there is no such job.
 func (s *Server) lookup(ctx context.Context, id string) (*ledger.Row, *ledger.Over, error) {
 	// A job moves from open to over in one transaction; read in this order, a
-	// move in between is met at its new place. Absent at both, the open record
-	// is read again: the job may have been accepted in between.
-	for range 2 {
-		row, err := s.store.Get(ctx, ledger.OpenKey(id))
-		if err != nil || row != nil {
-			return row, nil, err
-		}
-		row, err = s.store.Get(ctx, ledger.OverKey(id))
-		if err != nil {
-			return nil, nil, err
-		}
-		if row != nil {
-			var o ledger.Over
-			if err := json.Unmarshal(row.Value, &o); err != nil {
-				return nil, nil, err
-			}
-			s.remember(id, o)
-			return nil, &o, nil
-		}
+	// move in between is met at its new place. Over records stay for good: where
+	// there is none now, there was none when the open record was found absent, so
+	// there was no such job then.
+	row, err := s.store.Get(ctx, ledger.OpenKey(id))
+	if err != nil || row != nil {
+		return row, nil, err
 	}
-	return nil, nil, nil
+	row, err = s.store.Get(ctx, ledger.OverKey(id))
+	if err != nil || row == nil {
+		return nil, nil, err
+	}
+	var o ledger.Over
+	if err := json.Unmarshal(row.Value, &o); err != nil {
+		return nil, nil, err
+	}
+	s.remember(id, o)
+	return nil, &o, nil
 }
 
 func (s *Server) remember(id string, o ledger.Over) {
@@ -289,14 +329,7 @@
 	if o.Status == ledger.StatusCancelled {
 		s.told = time.Now()
 	}
-	if len(s.over) >= mostRemembered {
-		for k := range s.over {
-			delete(s.over, k)
-			if len(s.over) < mostRemembered/2 {
-				break
-			}
-		}
-	}
+	forgetHalf(s.over)
 	s.over[id] = o
 }
 
@@ -307,6 +340,9 @@
 	if a, ok := s.remembered(id); ok {
 		return a
 	}
+	if !s.reads.Allow() {
+		return errAway
+	}
 	row, over, err := s.lookup(ctx, id)
 	switch {
 	case err != nil:
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"drumpick/internal/config"
@@ -31,6 +33,7 @@
 		state := standin.NewState()
 		cfg := &config.Config{Node: "n-0"}
 		cfg.Facts.Workers.ReportS = 2
+		cfg.Facts.State.RPS = 100
 		cfg.Facts.Teams = []config.Team{{Name: "vision", CPUsMax: 8}}
 		s := intake.New(cfg, state.Client("n-0"), alone{}, func() string { return "n-1" }, func() intake.Local { return nil })
 		types := []ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Zones: []string{"a"}}}
@@ -76,6 +79,62 @@
 	})
 }
 
+// counted is a store that counts what it is asked.
+type counted struct {
+	*standin.Client
+	gets, commits int
+}
+
+func (c *counted) Get(ctx context.Context, key string) (*ledger.Row, error) {
+	c.gets++
+	return c.Client.Get(ctx, key)
+}
+
+func (c *counted) Commit(ctx context.Context, when []ledger.Cond, ops []ledger.Op) (uint64, error) {
+	c.commits++
+	return c.Client.Commit(ctx, when, ops)
+}
+
+// A flood takes its share of the store and no more: thousands of polls for jobs that
+// there are none of are told at once to come back, a job submitted again and again
+// is committed once, and a submission in the midst is accepted.
+func TestFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := &config.Config{Node: "n-0"}
+		cfg.Facts.Workers.ReportS = 2
+		cfg.Facts.State.RPS = 100
+		cfg.Facts.Nodes = 2
+		cfg.Facts.Teams = []config.Team{{Name: "vision"}}
+		store := &counted{Client: standin.NewState().Client("n-0")}
+		s := intake.New(cfg, store, alone{}, func() string { return "" }, func() intake.Local { return nil })
+		s.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Zones: []string{"a"}}})
+		status := map[int]int{}
+		for i := range 3000 {
+			status[s.Answer(peer.Relay{Method: "poll", ID: "j-" + strconv.Itoa(1000+i)}).Status]++
+		}
+		if status[404] == 0 || status[503] == 0 || status[404]+status[503] != 3000 || store.gets > 400 {
+			t.Errorf("3000 polls: answers %v, %d reads", status, store.gets)
+		}
+		if got := s.Answer(peer.Relay{Method: "submit", Body: []byte(job)}).Status; got != 201 {
+			t.Errorf("a submission among them: %d", got)
+		}
+		time.Sleep(time.Minute)
+		for range 50 {
+			if got := s.Answer(peer.Relay{Method: "submit", Body: []byte(job)}).Status; got != 200 {
+				t.Errorf("submitted again: %d", got)
+			}
+		}
+		for range 50 {
+			if got := s.Answer(peer.Relay{Method: "withdraw", ID: "j-1"}).Status; got != 200 {
+				t.Errorf("withdrawn again: %d", got)
+			}
+		}
+		if store.commits != 2 {
+			t.Errorf("%d commits for one job and its cancellation", store.commits)
+		}
+	})
+}
+
 // alone is a controller whose peers do not answer.
 type alone struct{}
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -11,13 +11,18 @@
 )
 
 // Client calls one address.
-type Client struct{ hc *fasthttp.HostClient }
+type Client struct {
+	hc *fasthttp.HostClient
+	// Once closes the connection after each call: where there are more addresses
+	// than sockets, and a call to each now and then.
+	Once bool
+}
 
 // New returns a client with at most conns connections. It never repeats a request
 // by itself: whether to repeat a commit or a rental is for the caller to decide.
 func New(addr string, conns int, dial time.Duration) *Client {
 	d := &net.Dialer{Timeout: dial, KeepAlive: -1}
-	return &Client{&fasthttp.HostClient{
+	return &Client{hc: &fasthttp.HostClient{
 		Addr:                      addr,
 		MaxConns:                  conns,
 		MaxIdleConnDuration:       time.Minute,
@@ -44,6 +49,9 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + c.hc.Addr + uri)
 	req.Header.SetMethod(method)
+	if c.Once {
+		req.SetConnectionClose()
+	}
 	if raw != nil {
 		req.Header.SetContentType(contentType)
 		req.SetBodyRaw(raw)
