--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -34,6 +34,7 @@
 	ticks map[string]uint64
 	out   map[string]rental.Request
 	teams []config.Team
+	aims  []config.Objective
 }
 
 func (s *story) open() *Core {
@@ -44,8 +45,9 @@
 		cfg.Facts.Cloud.ListLagS = 3
 		cfg.Facts.Zones = []string{"a", "b"}
 		cfg.Facts.Teams = append(s.teams, config.Team{Name: "team"})
+		cfg.Facts.Objectives = s.aims
 		s.core = NewCore(SettingsOf(cfg), s.term, s.now)
-		s.core.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, Zones: []string{"a", "b"}}})
+		s.core.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, CacheGB: 40, FetchGBps: 0.2, Zones: []string{"a", "b"}}})
 	}
 	return s.core
 }
@@ -93,6 +95,9 @@
 	case "team":
 		s.teams = append(s.teams, config.Team{Name: rest[0], CPUs: s.num(a["cpus"], 0), CPUsMax: s.num(a["max"], 0)})
 		return nil
+	case "objective":
+		s.aims = append(s.aims, config.Objective{Kind: rest[0], Class: rest[1], WithinS: s.num(rest[2], 0)})
+		return nil
 	}
 	c := s.open()
 	switch what {
@@ -100,7 +105,7 @@
 		j := ledger.Job{
 			ID: rest[0], Team: or(a["team"], "team"), Shape: or(a["shape"], "batch"), Priority: or(a["prio"], "standard"),
 			Tasks: int(s.num(a["tasks"], 1)), CPUs: s.num(a["cpus"], 1), MemGB: s.num(a["mem"], 1),
-			Image: or(a["image"], "img"), EstimateS: s.num(a["guess"], 60), CheckpointS: s.num(a["saves"], 0), SaveS: s.num(a["flush"], 0),
+			Class: a["class"], Image: or(a["image"], "img"), ImageGB: s.num(a["gb"], 0), EstimateS: s.num(a["guess"], 60), CheckpointS: s.num(a["saves"], 0), SaveS: s.num(a["flush"], 0),
 			OneZone: a["one_zone"] != "", Apart: a["apart"] != "", Spot: a["spot"] != "no", AcceptedMS: s.now.UnixMilli(),
 		}
 		if z := a["zone"]; z != "" {
