--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return fmt.Errorf("back %s: %w", cfg.Back, err)
 	}
-	backApp := newApp(res.FDLimit / 16)
+	backApp := newApp(res.FDLimit/16, 5*time.Minute)
 	peer.Mount(backApp, peer.Handlers{
 		Status: func() peer.Status {
 			return peer.StatusOf(cfg.Node, store, server.Quiet())
@@ -85,7 +85,7 @@
 	})
 	// Every worker keeps a connection to the leader; users come beside them. The rest
 	// is for calls: to the store and peers, and to workers one after the other.
-	app := newApp(res.FDLimit * 3 / 4)
+	app := newApp(res.FDLimit*3/4, config.Seconds(cfg.Facts.Workers.LeaseS))
 	server.Mount(app)
 
 	failed := make(chan error, 2)
@@ -103,16 +103,18 @@
 	return <-failed
 }
 
-// newApp returns an HTTP server of the protocol's limits.
-func newApp(connections int) *fiber.App {
+// newApp returns an HTTP server of the protocol's limits. A connection that says
+// nothing for as long as idle is closed: workers that gave one up behind a cut, or
+// hung, come back on another, and the old ones would take all sockets in the end.
+func newApp(connections int, idle time.Duration) *fiber.App {
 	return fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		BodyLimit:             64 << 10,
 		Concurrency:           max(connections, 16),
 		ReadBufferSize:        4096,
 		WriteBufferSize:       4096,
-		IdleTimeout:           5 * time.Minute,
-		ReadTimeout:           5 * time.Minute,
+		IdleTimeout:           idle,
+		ReadTimeout:           idle,
 		ReduceMemoryUsage:     true,
 	})
 }
--- a/cmd/drumpick/daemon_test.go
+++ b/cmd/drumpick/daemon_test.go
@@ -6,8 +6,11 @@
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/valyala/fasthttp/fasthttputil"
 )
 
 // A body over 64 KiB is refused by its announced length, before it is sent.
@@ -16,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	app := newApp(16)
+	app := newApp(16, time.Minute)
 	app.Post("/work", func(c *fiber.Ctx) error { return c.SendStatus(201) })
 	go func() { _ = app.Listener(ln) }()
 	defer func() { _ = app.Shutdown() }()
@@ -36,3 +39,39 @@
 		conn.Close()
 	}
 }
+
+// A connection that says nothing is closed after its time, in simulated time; one
+// that goes on asking stays.
+func TestIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		app := newApp(16, 12*time.Second)
+		app.Get("/ready", func(c *fiber.Ctx) error { return c.SendStatus(200) })
+		ln := fasthttputil.NewInmemoryListener()
+		go func() { _ = app.Server().Serve(ln) }()
+		app.Handler() // as a listener would
+		conn, err := ln.Dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		ask := func() error {
+			if _, err := fmt.Fprint(conn, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+				return err
+			}
+			_, err := conn.Read(make([]byte, 1024))
+			return err
+		}
+		for range 5 {
+			if err := ask(); err != nil {
+				t.Fatalf("a connection in use: %v", err)
+			}
+			time.Sleep(8 * time.Second)
+		}
+		time.Sleep(8 * time.Second)
+		if err := ask(); err == nil {
+			t.Error("an idle connection stays open")
+		}
+		ln.Close()
+		_ = conn.Close()
+		time.Sleep(time.Hour)
+	})
+}
