--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -153,7 +153,6 @@
 		"fetch_s", a.RunSince.Sub(a.Since).Seconds(), "run_s", now.Sub(a.RunSince).Seconds(), "term", c.term)
 	switch a.Cause {
 	case fleet.CauseDone:
-		m.Succeeded++
 		c.freed.add(j.req, now, c.set.Report)
 		clear(m.ErrorJobs)
 		c.markDone(j, a.Task.N)
--- /dev/null
+++ b/internal/dispatch/keep.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"time"
+
+	"drumpick/internal/fleet"
+	"drumpick/internal/ledger"
+	"drumpick/internal/packing"
+)
+
+// keepShare bounds how many of the machines may be emptying for larger tasks.
+const keepShare = 1.0 / 4
+
+// keep sets machines aside for tasks that are larger than others which wait: from
+// these a kept machine takes only what has its turn before. Guards against large
+// tasks that never start because small ones of later turns fill every gap before a
+// machine is empty. Those that will have room soonest are kept.
+func (c *Core) keep(now time.Time) {
+	var was []*fleet.Machine
+	up := 0
+	for _, m := range c.fleet.Sorted() {
+		if m.Bin.Open() {
+			up++
+		}
+		if m.Kept != nil {
+			was = append(was, m)
+			m.Kept = nil
+		}
+	}
+	if !c.settled {
+		return
+	}
+	var waiting []*Job
+	smallest := 1.0
+	for _, j := range c.queue(now) {
+		if j.Shape != ledger.ShapeGroup && c.startable(j, now) && j.peek() >= 0 {
+			waiting = append(waiting, j)
+			smallest = min(smallest, c.smallestShare(j))
+		}
+	}
+	left := int(float64(up) * keepShare)
+	type soon struct {
+		m  *fleet.Machine
+		in float64
+	}
+	var list []soon
+	listed := 0 // whose machines the list has, by the number of jobs alike
+	for _, j := range waiting {
+		if left == 0 {
+			return
+		}
+		if j.alike == 0 || c.smallestShare(j) <= smallest+1e-9 || c.limited(j.Team) {
+			continue
+		}
+		if listed != j.alike {
+			listed, list = j.alike, list[:0]
+			for _, m := range c.fleet.Sorted() {
+				if !m.Bin.Open() || m.Kept != nil || !j.permits(m.Type, m.Zone, m.Spot) || !m.Bin.Cap.Fits(j.req) {
+					continue
+				}
+				in := c.roomIn(j, m, now)
+				if slices.Contains(was, m) {
+					in /= 2 // what has begun to empty goes on
+				}
+				list = append(list, soon{m, in})
+			}
+			sort.SliceStable(list, func(a, b int) bool { return list[a].in < list[b].in })
+		}
+		n := min(j.pending(), left, len(list))
+		for _, x := range list[:n] {
+			x.m.Kept = j
+		}
+		list = list[n:]
+		left -= n
+	}
+}
+
+// roomIn guesses, in seconds, when a machine will have room for a task of the job
+// if it is given nothing else.
+func (c *Core) roomIn(j *Job, m *fleet.Machine, now time.Time) float64 {
+	free := m.Bin.Cap.Sub(m.Bin.Used())
+	type end struct {
+		in  float64
+		req packing.Vec
+	}
+	var ends []end
+	for _, a := range m.Attempts() {
+		if a.Item == nil {
+			continue
+		}
+		in := 0.0
+		if aj := c.jobOf(a); aj != nil {
+			in = c.remaining(aj, a, now)
+		}
+		ends = append(ends, end{in, a.Item.Req})
+	}
+	slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.in, b.in) })
+	for _, e := range ends {
+		if free.Fits(j.req) {
+			return e.in
+		}
+		free = free.Add(e.req)
+	}
+	if len(ends) == 0 {
+		return 0
+	}
+	return ends[len(ends)-1].in
+}
+
+// spared says whether a machine is kept for a job whose turn is before another's.
+func spared(m *fleet.Machine, j *Job) bool {
+	k, ok := m.Kept.(*Job)
+	return ok && k != j && k.over == "" && before(k, j)
+}
--- /dev/null
+++ b/internal/dispatch/renting.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"drumpick/internal/ledger"
+	"drumpick/internal/rental"
+)
+
+// prices keeps the machine types, with current prices, and stores them when
+// they have changed in kind.
+func (l *Leader) prices(ctx context.Context) {
+	var stored string
+	pause := l.set.Report
+	for ctx.Err() == nil {
+		types, err := l.cloud.Types(ctx)
+		if err != nil {
+			slog.Debug("cloud: no machine types", "err", err)
+			if ledger.Sleep(ctx, pause/2+rand.N(pause)) != nil {
+				return
+			}
+			continue
+		}
+		l.mu.Lock()
+		l.core.SetTypes(types)
+		l.mu.Unlock()
+		sort.Slice(types, func(i, j int) bool { return types[i].Name < types[j].Name })
+		plain := make([]ledger.MachineType, len(types))
+		copy(plain, types)
+		for i := range plain {
+			plain[i].SpotPrice = 0 // it moves all the time
+		}
+		raw, _ := json.Marshal(plain)
+		if string(raw) != stored {
+			if _, err := l.store.Commit(ctx, l.mine(), []ledger.Op{{Write: ledger.KeyTypes, Value: ledger.Types{Types: types}}}); err == nil {
+				stored = string(raw)
+			}
+		}
+		if ledger.Sleep(ctx, 15*pause) != nil {
+			return
+		}
+	}
+}
+
+// lists reads the cloud's list of machines now and then.
+func (l *Leader) lists(ctx context.Context) {
+	for ctx.Err() == nil {
+		every := l.set.ListLag + l.set.Report
+		asked := time.Now()
+		list, err := l.cloud.List(ctx)
+		if err == nil {
+			l.mu.Lock()
+			l.core.Listed(list, asked, time.Now())
+			if !l.core.settled {
+				every = l.set.ListLag / 2 // work waits to hear which machines are gone
+			}
+			l.mu.Unlock()
+		} else {
+			slog.Debug("cloud: no list", "err", err)
+		}
+		every = max(every, l.set.Report/4)
+		if ledger.Sleep(ctx, every*3/4+rand.N(every/2)) != nil {
+			return
+		}
+	}
+}
+
+// rents asks for machines.
+func (l *Leader) rents(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ledger.Sleep(ctx, l.set.Report/4) == nil {
+		if !l.granted() {
+			continue
+		}
+		l.mu.Lock()
+		reqs := l.core.Wants(time.Now())
+		l.mu.Unlock()
+		for _, r := range reqs {
+			wg.Add(1)
+			go func() { defer wg.Done(); l.rent(ctx, r) }()
+		}
+	}
+}
+
+// rent repeats one request under its own name until it is answered.
+func (l *Leader) rent(ctx context.Context, r rental.Request) {
+	pause := l.set.Report / 4
+	for try := 0; ; try++ {
+		var hosts []string
+		err := error(rental.ErrTrouble)
+		if l.granted() {
+			hosts, err = l.cloud.Rent(ctx, r)
+		}
+		now := time.Now()
+		switch {
+		case err == nil:
+			l.mu.Lock()
+			l.core.Rented(r, hosts, now)
+			l.mu.Unlock()
+			return
+		case errors.Is(err, rental.ErrNoCapacity), ctx.Err() != nil, try >= 8:
+			l.mu.Lock()
+			l.core.Refused(r, errors.Is(err, rental.ErrNoCapacity), now)
+			l.mu.Unlock()
+			return
+		}
+		slog.Debug("rental not answered", "booking", r.Booking, "err", err)
+		if ledger.Sleep(ctx, pause/2+rand.N(pause)) != nil {
+			continue
+		}
+		pause = min(2*pause, 4*l.set.Report)
+	}
+}
+
+// returns gives machines back.
+func (l *Leader) returns(ctx context.Context) {
+	for ledger.Sleep(ctx, l.set.Report/2) == nil {
+		if !l.granted() {
+			continue
+		}
+		l.mu.Lock()
+		hosts := l.core.Returns(time.Now())
+		l.mu.Unlock()
+		if len(hosts) == 0 || !l.granted() {
+			continue
+		}
+		if err := l.cloud.Return(ctx, hosts); err != nil {
+			slog.Debug("return not answered", "machines", hosts, "err", err)
+			continue
+		}
+		l.mu.Lock()
+		l.core.Returned(hosts, time.Now())
+		l.mu.Unlock()
+		l.poke()
+	}
+}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -60,7 +60,6 @@
 	SilentSince        time.Time
 
 	ErrorJobs map[string]int // errors by job since the last success
-	Succeeded int
 	images    []image // fetched here, the one last used at the end
 
 	Bin      *packing.Bin
