--- /dev/null
+++ b/internal/dispatch/bounds_test.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"drumpick/internal/config"
+	"drumpick/internal/ledger"
+)
+
+// What is remembered of jobs goes with them: thousands of jobs of ever other sizes
+// and images, a few at a time, leave nothing behind, and jobs alike stay alike.
+func TestNothingGrows(t *testing.T) {
+	cfg := &config.Config{Options: config.DefaultOptions()}
+	cfg.Facts.Workers = config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 5, CancelS: 30}
+	cfg.Facts.State.ValueKB = 8
+	now := time.Unix(1_000_000, 0)
+	c := NewCore(SettingsOf(cfg), 5, now)
+	add := func(id, image string, cpus float64) *Job {
+		return c.AddJob(ledger.Job{ID: id, Shape: ledger.ShapeBatch, Tasks: 10, CPUs: cpus, Image: image}, 10, now, now)
+	}
+	for i := range 5000 {
+		a := add(fmt.Sprint("j-1", i), fmt.Sprint("img-", i), float64(i)/1000)
+		b := add(fmt.Sprint("j-2", i), fmt.Sprint("img-", i), float64(i)/1000)
+		other := add(fmt.Sprint("j-3", i), "else", float64(i)/1000)
+		if a.alike != b.alike || a.twins != b.twins || other.alike != a.alike || other.twins == a.twins || a.alike == a.twins {
+			t.Fatalf("job %d: numbers %d %d, %d %d, %d %d", i, a.alike, a.twins, b.alike, b.twins, other.alike, other.twins)
+		}
+		for _, j := range []*Job{a, b, other} {
+			c.CloseJob(j.ID, ledger.StatusDone)
+		}
+		c.closed = c.closed[:0] // the flush takes them
+		if len(c.alike) > 100 || len(c.jobs) > 0 {
+			t.Fatalf("after job %d: %d likenesses, %d jobs", i, len(c.alike), len(c.jobs))
+		}
+	}
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -113,6 +113,20 @@
 	return c.alike[f]
 }
 
+// liken gives a job the numbers that it shares with jobs alike.
+func (c *Core) liken(j *Job) {
+	if !j.plain() {
+		return
+	}
+	f := likeness{req: j.req, spot: j.Spot}
+	if j.Job.Zone != nil {
+		f.zone = *j.Job.Zone
+	}
+	j.alike = c.number(f)
+	f.image = j.Image
+	j.twins = c.number(f)
+}
+
 // jobOf returns the open job of an attempt, nil if there is none.
 func (c *Core) jobOf(a *fleet.Attempt) *Job {
 	j, ok := a.Job.(*Job)
@@ -237,15 +251,14 @@
 	age := max(wall.Sub(time.UnixMilli(rec.AcceptedMS)), 0)
 	j.Accepted = now.Add(-age)
 	j.targets = c.targets(j)
-	if j.plain() {
-		f := likeness{req: j.req, spot: j.Spot}
-		if j.Job.Zone != nil {
-			f.zone = *j.Job.Zone
+	if len(c.alike) > 4*len(c.jobs)+64 {
+		// Most numbers are of jobs long over.
+		clear(c.alike)
+		for _, o := range c.jobs {
+			c.liken(o)
 		}
-		j.alike = c.number(f)
-		f.image = j.Image
-		j.twins = c.number(f)
 	}
+	c.liken(j)
 	c.jobs[rec.ID] = j
 	c.resort, c.dirty = true, true
 	return j
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -60,7 +60,7 @@
 	SilentSince        time.Time
 
 	ErrorJobs map[string]int // errors by job since the last success
-	images    []image // fetched here, the one last used at the end
+	images    []image        // fetched here, the one last used at the end
 
 	Bin      *packing.Bin
 	Forecast *forecast.FUSD
--- a/internal/packing/packing.go
+++ b/internal/packing/packing.go
@@ -139,8 +139,13 @@
 	default:
 		b.marks = slices.Delete(b.marks, i, i+1)
 	}
-	if b.space != nil {
-		b.space.mark(name).put(b.pos, on)
+	if b.space == nil {
+		return
+	}
+	set := b.space.mark(name)
+	set.put(b.pos, on)
+	if !on && !slices.ContainsFunc(set, func(w uint64) bool { return w != 0 }) {
+		delete(b.space.marked, name) // images come and go; none is remembered for good
 	}
 }
 
@@ -200,17 +205,6 @@
 	return b.Gap() > eps && (b.empty() || b.tBin() || b.lOrLT() || b.sBin())
 }
 
-// Lawful says whether the bin holds one of the paper's combinations (Lemma 1).
-func (b *Bin) Lawful() bool {
-	switch {
-	case b.empty(), b.tBin(), b.sBin(), b.lOrLT():
-		return true
-	case b.count[Big] == 1, b.count[Small] == 2:
-		return len(b.items) == b.count[Big]+b.count[Small]
-	}
-	return false
-}
-
 // groups splits the bin's tiny items into groups of at most a third, any two of
 // which exceed a third together (Definition 4). First fit gives just that.
 func (b *Bin) groups() [][]*Item {
--- a/internal/packing/packing_test.go
+++ b/internal/packing/packing_test.go
@@ -199,3 +199,14 @@
 		}
 	}
 }
+
+// Lawful says whether the bin holds one of the paper's combinations (Lemma 1).
+func (b *Bin) Lawful() bool {
+	switch {
+	case b.empty(), b.tBin(), b.sBin(), b.lOrLT():
+		return true
+	case b.count[Big] == 1, b.count[Small] == 2:
+		return len(b.items) == b.count[Big]+b.count[Small]
+	}
+	return false
+}
