--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -226,6 +226,15 @@
 		s = &packing.Space{Ranked: true, Movable: func(it *packing.Item) bool {
 			a, ok := it.Owner.(*fleet.Attempt)
 			return ok && c.movable(c.jobOf(a), a, c.now)
+		}, Suits: func(it *packing.Item, to *packing.Bin) bool {
+			// Guards against moves that throw a fetch away to begin another: what was
+			// only planned moves freely, what is on a machine to where its image is.
+			a, ok := it.Owner.(*fleet.Attempt)
+			if !ok || a.State == fleet.Planned {
+				return true
+			}
+			j := c.jobOf(a)
+			return j != nil && (c.fetch(j) == 0 || to.Marked(j.ready))
 		}}
 		c.spaces[m.Type] = s
 	}
--- a/internal/packing/packing.go
+++ b/internal/packing/packing.go
@@ -307,7 +307,7 @@
 func (o *op) shift(g []*Item, from, to *Bin) bool {
 	var sum Vec
 	for _, it := range g {
-		if !o.s.movable(it) {
+		if !o.s.movable(it) || to != nil && o.s.Suits != nil && !o.s.Suits(it, to) {
 			return false
 		}
 		sum = sum.Add(it.Req)
--- a/internal/packing/space.go
+++ b/internal/packing/space.go
@@ -79,6 +79,8 @@
 	// Movable says whether an item may be moved merely to fill or empty a bin;
 	// nil: as the item says.
 	Movable func(*Item) bool
+	// Suits says whether a move of an item into a bin is worth what it costs; nil: yes.
+	Suits func(it *Item, to *Bin) bool
 
 	sets   [lastKind][steps + 1]set
 	counts [lastKind][steps + 1]int
