A new machine runs from its first report on; tests of first reports, garbled reports, cloud shares

Cause (TestFirstReportStarts): the wait for the record was of no use, as a new machine had to show our term first, a report later. A worker that has seen no token and is not on record can hold nothing of any leader.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -247,7 +247,12 @@
 	m.Up, m.Lost, m.LastBody = true, false, now
 	m.Addr, m.Stint, m.Tick = r.Addr, r.Stint, r.Tick
 	m.Baton = max(m.Baton, r.Baton)
-	if r.Baton == t.Term && !m.Settled {
+	// A worker that reports and has seen no token yet has never obeyed anyone; where
+	// the store has no record of it either, no earlier leader can have sent it a run
+	// that is still under way. On record, a late report of its first days would say
+	// the same.
+	fresh := isReport && r.Baton == 0 && !m.Inherited && len(r.Tasks) == 0
+	if (r.Baton == t.Term || fresh) && !m.Settled {
 		m.Settled, out.Settled = true, true
 	}
 	m.Notice = time.Time{}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"drumpick/internal/config"
+	"drumpick/internal/fleet"
 	"drumpick/internal/intake"
 	"drumpick/internal/ledger"
 	"drumpick/internal/peer"
@@ -135,6 +136,53 @@
 	})
 }
 
+// leading takes every report that makes sense.
+type leading struct{ reports, tasks int }
+
+func (l *leading) Progress(string) (string, int, int, bool) { return "", 0, 0, false }
+func (l *leading) Unreachable(*fleet.Report) bool           { return true }
+func (l *leading) Report(r *fleet.Report) (int, fleet.Response) {
+	l.reports++
+	l.tasks += len(r.Tasks)
+	return 200, fleet.Response{Baton: 1, Orders: []fleet.Order{}}
+}
+
+// Garbled reports are refused before the leader sees them; a very long one is taken,
+// whichever way it comes.
+func TestReports(t *testing.T) {
+	cfg := &config.Config{Node: "n-0"}
+	cfg.Facts.State.RPS = 100
+	l := &leading{}
+	s := intake.New(cfg, standin.NewState().Client("n-0"), alone{}, func() string { return "n-0" }, func() intake.Local { return l })
+	var tasks []string
+	for i := range 900 {
+		tasks = append(tasks, `{"shot":"j-000412/`+strconv.Itoa(i)+`","try":83886081,"status":"running"}`)
+	}
+	long := `{"host":"m-1","stint":1,"tick":1,"baton":1,"shots":[` + strings.Join(tasks, ",") + `]}`
+	if len(long) < 50<<10 {
+		t.Fatalf("the long report takes only %d bytes", len(long))
+	}
+	for _, x := range []struct {
+		body string
+		want int
+	}{
+		{"", 400}, {"nonsense", 400}, {"[]", 400}, {`{"host":"m-1"`, 400}, {`{"host":"","stint":1}`, 400}, {`{"host":"m-1"}`, 400},
+		{`{"host":"m-1","stint":-1}`, 400}, {`{"host":"m-1","stint":1,"shots":{}}`, 400}, {long[:40<<10], 400},
+		{`{"host":"m-1","stint":1,"tick":1,"shots":null,"later":[1]}`, 200}, {long, 200},
+	} {
+		name := x.body[:min(len(x.body), 40)]
+		if out := s.Checkin([]byte(x.body)); out.Status != x.want {
+			t.Errorf("%q: %d, want %d", name, out.Status, x.want)
+		}
+		if out := s.Forwarded(peer.Checkin{Body: []byte(x.body)}); out.Status != x.want {
+			t.Errorf("%q through a peer: %d, want %d", name, out.Status, x.want)
+		}
+	}
+	if l.reports != 4 || l.tasks != 1800 {
+		t.Errorf("the leader saw %d reports with %d tasks", l.reports, l.tasks)
+	}
+}
+
 // alone is a controller whose peers do not answer.
 type alone struct{}
 
--- a/internal/rental/cloud_test.go
+++ b/internal/rental/cloud_test.go
@@ -50,3 +50,17 @@
 		t.Errorf("rent: %v, %v", hosts, err)
 	}
 }
+
+// Rentals that are refused and tried again leave room for lists and returns, and all
+// calls together stay below the cloud's rate.
+func TestShares(t *testing.T) {
+	for _, rps := range []float64{0.5, 3, 4, 100} {
+		c := NewClient("127.0.0.1:1", rps, time.Second)
+		if all, rents := float64(c.limit.Limit()), float64(c.rents.Limit()); all >= rps || rents > 0.6*all {
+			t.Errorf("rate %v: %v for all calls, %v for rentals", rps, all, rents)
+		}
+		if b := c.rents.Burst(); b < 1 || b > c.limit.Burst() || float64(c.limit.Burst()) > max(2*rps, 1) {
+			t.Errorf("rate %v: bursts of %d and %d", rps, c.limit.Burst(), b)
+		}
+	}
+}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -448,6 +448,32 @@
 	})
 }
 
+// A new machine's first report waits for its record and is answered with runs: no
+// report interval is lost, which on hundreds of machines is hundreds of intervals.
+func TestFirstReportStarts(t *testing.T) {
+	play(t, func(c *cluster) {
+		sleep(2)
+		c.submit(0, ledger.Job{ID: "j-1", Tasks: 4, EstimateS: 30})
+		var heard, started time.Time
+		for range 400 {
+			sleep(0.1)
+			for _, m := range c.world.Machines() {
+				c.world.mu.Lock()
+				if m.baton > 0 && heard.IsZero() {
+					heard = time.Now()
+				}
+				c.world.mu.Unlock()
+			}
+			if c.world.Starts() > 0 && started.IsZero() {
+				started = time.Now()
+			}
+		}
+		if heard.IsZero() || started.IsZero() || started.Sub(heard) > c.world.Every/2 {
+			t.Errorf("first answer %v, first start %v", heard, started)
+		}
+	})
+}
+
 // At the end of an outage somebody is served first. The leader, served a moment
 // later, goes on leading: stepping down would cost a grant and a takeover.
 func TestOutageEndsForOthersFirst(t *testing.T) {
