--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -173,6 +173,7 @@
 	lastRound  time.Time
 	dirty      bool        // something changed since the last placing
 	mostSilent bool        // more machines are silent than heard
+	someSilent bool        // at most a quarter of the machines are silent
 	fewUnheard bool        // of the machines on record at the takeover, few have not been heard
 	closed     []closedJob // whose finished tasks need no record any more
 
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -353,6 +353,7 @@
 		}
 	}
 	c.mostSilent = silent > 2 && 2*silent > up
+	c.someSilent = float64(silent) <= someShare*float64(up)
 	inherited, unheard := c.fleet.Inherited()
 	c.fewUnheard = float64(unheard) <= fewShare*float64(inherited)
 	for _, m := range c.fleet.Sorted() {
@@ -378,6 +379,24 @@
 	fewReports = 2
 )
 
+// someShare is the share of machines that may be silent for each to be taken for dead.
+const someShare = 1.0 / 4
+
+// deaf is how long a machine may be silent before it is given back without waiting
+// for the end of its lease: its return proves that its tasks are gone, and they start
+// elsewhere that much sooner. One that the cloud was about to take has most likely been
+// taken; any other has most likely died, unless many are silent, behind a cut or
+// because we stood still.
+func (c *Core) deaf(m *fleet.Machine, now time.Time) time.Duration {
+	switch {
+	case !m.Notice.IsZero() && now.After(m.Notice):
+		return c.set.Report * 3 / 2
+	case c.someSilent:
+		return max(c.set.Lease/2, 2*c.set.Report)
+	}
+	return math.MaxInt64
+}
+
 func (c *Core) giveBack(m *fleet.Machine, now time.Time) bool {
 	startup := max(c.startup(m.Type), c.set.Report)
 	switch {
@@ -392,6 +411,8 @@
 		// waited for as long as their work would be worth it alone.
 		silent := now.Sub(m.SilentSince)
 		return silent > c.set.Lease || c.fewUnheard && silent > fewReports*c.set.Report
+	case m.Up && m.Settled && now.Sub(m.LastBody) > c.deaf(m, now):
+		return true
 	case !m.Up:
 		return !m.Rented.IsZero() && now.Sub(m.Rented) > 3*startup+c.set.Report
 	case !m.Empty():
