--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -17,6 +17,7 @@
 	"drumpick/internal/config"
 	"drumpick/internal/dispatch"
 	"drumpick/internal/fleet"
+	"drumpick/internal/frontier"
 	"drumpick/internal/intake"
 	"drumpick/internal/ledger"
 	"drumpick/internal/operator"
@@ -46,7 +47,8 @@
 	cloud := rental.NewClient(cfg.External.Cloud, cfg.Facts.Cloud.RPS, 2*report)
 	workers := fleet.NewCaller(max(res.FDLimit/40, 4), report)
 	ten := tenure.New(store, cfg.Node, strconv.FormatUint(rand.Uint64(), 36),
-		time.Duration(float64(report)*cfg.Options.GrantReports))
+		time.Duration(float64(report)*cfg.Options.GrantReports), cfg.Options.Marks)
+	var witness frontier.Witness
 
 	var leader atomic.Pointer[dispatch.Leader]
 	server := intake.New(cfg, store, peers, ten.Leader, func() intake.Local {
@@ -66,8 +68,11 @@
 	}
 	backApp := newApp(res.FDLimit/16, 5*time.Minute)
 	handlers := peer.Handlers{
-		Status: func() peer.Status {
-			return peer.StatusOf(cfg.Node, store, server.Quiet())
+		Status: func(word frontier.Word) peer.Status {
+			s := peer.StatusOf(cfg.Node, store, server.Quiet())
+			heard := witness.Hear(word)
+			s.Heard = &heard
+			return s
 		},
 		Progress: func(id string) peer.Progress {
 			l := leader.Load()
@@ -109,7 +114,7 @@
 	go server.Watch(ctx)
 	go learnTypes(ctx, server, store, cloud, report)
 	go ten.Run(ctx, func(ctx context.Context, term uint64) {
-		l := dispatch.NewLeader(cfg, store, cloud, ten, peers, workers, server.Quiet, term)
+		l := dispatch.NewLeader(cfg, store, cloud, ten, peers, workers, &witness, server.Quiet, term)
 		leader.Store(l)
 		defer leader.Store(nil)
 		l.Run(ctx)
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -18,6 +18,7 @@
 	IdleStartups  float64 // an empty machine is kept this many startup times
 	SpreadRefused float64 // pause after "no capacity", in startup times
 	Operators     bool    // operators are served beside users
+	Marks         bool    // the store says how far jobs were sent, for takeovers
 }
 
 // DefaultOptions are used for whatever the INI file does not set.
@@ -72,6 +73,7 @@
 		v            *bool
 	}{
 		{"operator", "enabled", &o.Operators},
+		{"takeover", "marks", &o.Marks},
 	} {
 		known[e.section+"."+e.key] = true
 		if !f.Section(e.section).HasKey(e.key) {
--- a/internal/dispatch/chains.go
+++ b/internal/dispatch/chains.go
@@ -67,6 +67,9 @@
 		if !j.waits {
 			j.since = max(j.Stamp, c.chain.Since(id))
 		}
+		if j.since > c.term {
+			c.trust(j) // nobody can have started any of it before
+		}
 		j.targets = c.targets(j)
 		c.choosy(j)
 		c.resort, c.dirty = true, true
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -13,6 +13,7 @@
 	"drumpick/internal/config"
 	"drumpick/internal/fleet"
 	"drumpick/internal/forecast"
+	"drumpick/internal/frontier"
 	"drumpick/internal/ledger"
 	"drumpick/internal/packing"
 )
@@ -28,6 +29,7 @@
 	Objectives                     []config.Objective
 	Teams                          map[string]config.Team
 	Forecast                       forecast.Params
+	Marks                          bool // nothing is sent that the store has not marked
 }
 
 // SettingsOf derives them from the configuration.
@@ -45,7 +47,7 @@
 		ChunkTasks:   ledger.ChunkTasks(c.Facts.State.ValueKB),
 		PartTasks:    ledger.PartTasks(ledger.ChunkTasks(c.Facts.State.ValueKB), c.Facts.State.Lowest().ValueKB),
 		IdleStartups: c.Options.IdleStartups, RefusedStartups: c.Options.SpreadRefused,
-		Zones: c.Facts.Zones, Objectives: c.Facts.Objectives,
+		Zones: c.Facts.Zones, Objectives: c.Facts.Objectives, Marks: c.Options.Marks,
 		Teams: map[string]config.Team{},
 		Forecast: forecast.Params{
 			Up: c.Options.AlphaUp, Down: c.Options.AlphaDown,
@@ -73,6 +75,9 @@
 	alike    int      // a number that jobs share whose tasks fit the same machines; 0: it shares none
 	twins    int      // the same of those that also share the image
 
+	mark  frontier.Mark // how far into it tasks may have been sent
+	doubt []uint64      // bit set of tasks that may be on machines not heard since the takeover; nil: none
+
 	done, stored []uint64 // bit sets of finished tasks, and of those the store has
 	nDone        int
 	dirty        map[int]bool // parts to be stored
@@ -186,10 +191,11 @@
 	fewUnheard bool             // of the machines on record at the takeover, few have not been heard
 	unsent     []*fleet.Attempt // planned, in the order of their turns, and maybe no longer so
 	closed     []string         // jobs whose finished tasks need no record any more
-	owners     []*Job           // jobs that have claims
-	drains     []*drainWork     // what operators asked for, by id
-	lastDrain  time.Time        // when it was last looked at
-	draining   bool             // any of it holds now
+	marks      marks
+	owners     []*Job       // jobs that have claims
+	drains     []*drainWork // what operators asked for, by id
+	lastDrain  time.Time    // when it was last looked at
+	draining   bool         // any of it holds now
 
 	// Kick lists machines that should hear orders at once, not at their next report.
 	kick map[string]bool
@@ -199,7 +205,7 @@
 func NewCore(set Settings, term uint64, now time.Time) *Core {
 	return &Core{
 		set: set, term: term, jobs: map[string]*Job{}, chain: chain.New(), alike: map[likeness]int{}, types: map[string]ledger.MachineType{},
-		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{},
+		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{}, marks: newMarks(),
 		rent: newRentState(), spaces: map[string]*packing.Space{},
 	}
 }
@@ -290,6 +296,7 @@
 	c.jobs[rec.ID] = j
 	c.resort, c.dirty = true, true
 	c.link(j)
+	c.suspect(j)
 	return j
 }
 
@@ -412,7 +419,7 @@
 
 // pending counts tasks that are neither done nor held.
 func (j *Job) pending() int {
-	n := len(j.again)
+	n := len(j.again) + j.doubts()
 	for i := j.next; i < j.Tasks; {
 		// Whole words of untouched tasks count at once.
 		if i%64 == 0 && i+64 <= j.Tasks {
@@ -427,7 +434,7 @@
 	}
 	// Tasks beyond next that are held (adopted after a takeover).
 	for t := range j.held {
-		if t >= j.next && !has(j.done, t) {
+		if (t >= j.next || j.doubtful(t)) && !has(j.done, t) {
 			n--
 		}
 	}
@@ -464,9 +471,10 @@
 }
 
 // push and pop keep the list of tasks to be tried again free of repeats: a task
-// can be given back twice when a second attempt of it was about.
+// can be given back twice when a second attempt of it was about. What is in doubt
+// joins the list when it no longer is.
 func (j *Job) push(t int) {
-	if !has(j.listed, t) {
+	if !has(j.listed, t) && !j.doubtful(t) {
 		j.listed[t/64] |= 1 << (t % 64)
 		j.again = append(j.again, t)
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -56,6 +56,9 @@
 	if out.Settled {
 		c.dirty = true
 	}
+	if m.Settled && !c.settled {
+		c.seen(m)
+	}
 	if out.Upgraded {
 		slog.Info("worker has another version", "machine", m.Host, "version", m.Version, "term", c.term)
 		c.lastDrain = time.Time{} // it may come back into service
@@ -83,6 +86,7 @@
 		return
 	}
 	c.settled, c.dirty = true, true
+	c.certain()
 	slog.Info("all machines settled", "term", c.term, "after", now.Sub(c.began).Round(time.Millisecond))
 	for _, j := range c.jobs {
 		// A gang that already ran and lost a member under an earlier term cannot
--- a/internal/dispatch/flush.go
+++ b/internal/dispatch/flush.go
@@ -75,6 +75,9 @@
 		}
 		ws = append(ws, c.finish(j, ledger.Over{Status: ledger.StatusDone, AtMS: now.UnixMilli()}))
 	}
+	if !l.takeOath(&ws, fits, now) || !l.takeMarks(&ws, fits) {
+		return ws
+	}
 	for _, m := range c.fleet.Sorted() {
 		if !m.Up || m.Recorded || m.Recording || m.Returning || m.Lost {
 			continue
@@ -97,9 +100,11 @@
 		return ws
 	}
 	l.done.close(c.closed)
+	l.over = append(l.over, c.closed...)
 	c.closed = c.closed[:0]
 	if now.Sub(l.flushed) >= l.set.Report {
 		l.done.gather(c)
+		l.dropMarks()
 		l.flushed = now
 	}
 	for _, b := range l.done.shelf.Changed() {
@@ -143,8 +148,6 @@
 						m.Recorded, m.Recording = true, false
 					}
 				}
-				close(l.logged)
-				l.logged = make(chan struct{})
 			},
 			refused: func() {
 				for _, id := range l.hosts.Refused(b) {
@@ -225,7 +228,10 @@
 			for _, w := range ws {
 				w.apply(stamp)
 			}
+			close(l.logged)
+			l.logged = make(chan struct{})
 			l.mu.Unlock()
+			l.led(stamp)
 			return true
 		case errors.As(err, &conflict):
 			if slices.Contains(conflict.Failed, ledger.KeyLeader) {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -11,6 +11,7 @@
 
 	"drumpick/internal/config"
 	"drumpick/internal/fleet"
+	"drumpick/internal/frontier"
 	"drumpick/internal/ledger"
 	"drumpick/internal/peer"
 	"drumpick/internal/rental"
@@ -41,7 +42,7 @@
 }
 
 type Peers interface {
-	Status(ctx context.Context) (answers []peer.Status, all bool)
+	Tell(ctx context.Context, word frontier.Word) (answers []peer.Status, all bool)
 }
 
 // Leader drives a Core through one term: it feeds events in and carries the
@@ -54,6 +55,7 @@
 	tenure  *tenure.Tenure
 	peers   Peers
 	workers Workers
+	witness *frontier.Witness    // this controller's own
 	quiet   func() time.Duration // since a user was last told of a cancellation here
 
 	term    uint64
@@ -61,24 +63,31 @@
 	core    *Core
 	hosts   *ledger.Shelf // machines on record
 	done    *progress     // finished tasks on record
+	sent    *ledger.Shelf // marks on record
 	mostOps int           // changes in one commit
 	loaded  chan struct{}
 	wake    chan struct{} // something is to be stored
 	flushed time.Time     // when finished tasks were last gathered
+	over    []string      // jobs whose marks are of no use any more
 	logged  chan struct{} // closed, and replaced, when machines have come on record
 
 	contactMu sync.Mutex
 	contact   time.Time // until then, no cancellation can have been missed
 	vouched   time.Time // until then, nobody else can lead, grant or not
+	word      frontier.Word
+	loose     time.Time // until then, all others have heard that the marks are loose
+	swore     time.Time // when a record was last made that the marks are whole
+	told      time.Time // when the others were last told how they stand; for announce alone
 }
 
 // NewLeader prepares a term; Run serves it.
-func NewLeader(cfg *config.Config, store Store, cloud Cloud, ten *tenure.Tenure, peers Peers, workers Workers, quiet func() time.Duration, term uint64) *Leader {
+func NewLeader(cfg *config.Config, store Store, cloud Cloud, ten *tenure.Tenure, peers Peers, workers Workers, witness *frontier.Witness, quiet func() time.Duration, term uint64) *Leader {
 	set := SettingsOf(cfg)
 	return &Leader{
-		cfg: cfg, set: set, store: store, cloud: cloud, tenure: ten, peers: peers, workers: workers, quiet: quiet,
+		cfg: cfg, set: set, store: store, cloud: cloud, tenure: ten, peers: peers, workers: workers, witness: witness, quiet: quiet,
 		term: term, core: NewCore(set, term, time.Now()), mostOps: cfg.Facts.State.Lowest().TxnOps,
 		loaded: make(chan struct{}), wake: make(chan struct{}, 1), logged: make(chan struct{}),
+		word: frontier.Word{Term: term, Epoch: term},
 	}
 }
 
@@ -220,32 +229,38 @@
 		return 503, fleet.Response{}
 	}
 	l.core.Observe(m)
-	if !m.Recorded && !l.record(m) {
+	if !m.Recorded && !l.await(m, func() bool { return m.Recorded }) {
 		return 503, fleet.Response{}
 	}
 	now = time.Now()
 	can := l.mayStart()
+	if can && !l.marked(m, now) {
+		return 503, fleet.Response{}
+	}
+	now = time.Now()
+	// Asked here, with the lock held from here on: announce relies on it.
+	l.core.marks.loose = l.isLoose(now)
 	resp := l.core.Respond(m, can, now)
 	// Guards against a grant that ended while orders were computed: what was
 	// marked as sent is given up when the next report lacks it.
 	if can && !l.mayStart() {
 		return 503, fleet.Response{}
 	}
-	if l.core.unstored() {
+	if l.core.unstored() || len(l.core.marks.raised) > 0 {
 		l.poke()
 	}
 	l.core.Answered(m, time.Now())
 	return 200, resp
 }
 
-// record waits a moment, with the lock held before and after, until a new machine is
-// on record: what waits then starts with this answer, and not a report interval
+// await waits a moment, with the lock held before and after, until what a machine needs
+// is on record: what waits then starts with this answer, and not a report interval
 // later. It says whether the machine's report is still the last we know.
-func (l *Leader) record(m *fleet.Machine) bool {
+func (l *Leader) await(m *fleet.Machine, ready func() bool) bool {
 	stint, tick := m.Stint, m.Tick
 	over := time.NewTimer(l.set.Report / 4)
 	defer over.Stop()
-	for waiting := true; waiting && !m.Recorded && l.granted(); {
+	for waiting := true; waiting && !ready() && l.granted(); {
 		logged := l.logged
 		l.mu.Unlock()
 		l.poke()
@@ -289,6 +304,9 @@
 		can := l.mayStart()
 		l.mu.Lock()
 		l.core.Tick(now, can)
+		if len(l.core.marks.raised) > 0 {
+			l.poke()
+		}
 		type call struct {
 			host, addr string
 			body       fleet.Direct
--- a/internal/dispatch/outage.go
+++ b/internal/dispatch/outage.go
@@ -57,14 +57,19 @@
 // are not, we are the odd one out and step down.
 func (l *Leader) confirm(ctx context.Context) {
 	odd := time.Time{} // since when others are served and we are not
-	for ledger.Sleep(ctx, l.set.Report/2) == nil {
+	// Words are told one after the other, from here alone. Guards against an earlier word
+	// that reaches a controller which started only after it had been asked to hear a later.
+	for l.announce(ctx); ledger.Sleep(ctx, l.set.Report/4) == nil; {
 		lastOK, failing, _ := l.store.Health()
 		if !failing || time.Since(lastOK) < l.set.Report/2 {
+			l.announce(ctx)
 			continue
 		}
 		asked := time.Now()
 		_, until := l.tenure.Term()
-		answers, all := l.peers.Status(ctx)
+		word := l.loosen()
+		answers, all := l.peers.Tell(ctx, word)
+		l.loosened(word, answers, all, asked)
 		silent, ended := time.Since(l.lastContact()), time.Since(until)
 		served, confirmed, vouched := false, all && l.quiet() >= silent, all
 		for _, a := range answers {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -17,10 +17,10 @@
 }
 
 // startable says whether tasks of the job may be started at all now. After a
-// takeover, until every machine that may hold tasks has been heard, only jobs
-// accepted, or released by one that was stored as done, under this term may start, and
-// of these none that needs the whole picture: an older job's task may be running on a
-// machine still unheard of.
+// takeover, until every machine that may hold tasks has been heard, only tasks may start
+// that can be on none of those still unheard of, and none of a job that needs the whole
+// picture: all tasks of jobs accepted, or released by one that was stored as done, under
+// this term, and of older jobs what is beyond their marks.
 func (c *Core) startable(j *Job, now time.Time) bool {
 	if j.over || j.waits || j.finishing || j.gangBroken || now.Before(j.retryAt) {
 		return false
@@ -28,7 +28,7 @@
 	if c.settled {
 		return true
 	}
-	return j.since > c.term && !c.limited(j.Team) && !j.OneZone && !j.Apart
+	return (j.doubt == nil || j.Shape != ledger.ShapeGroup) && !c.limited(j.Team) && !j.OneZone && !j.Apart
 }
 
 // usage is what a team's tasks take. With planned, also what is meant to start.
@@ -289,6 +289,7 @@
 func (c *Core) plant(j *Job, t int, try uint64, m *fleet.Machine, it *packing.Item, now time.Time) *fleet.Attempt {
 	a := c.fleet.Plan(m, fleet.TaskID{Job: j.ID, N: t}, try, it, now)
 	a.Job, j.held[t] = j, a
+	c.raise(j, t)
 	m.EmptySince = time.Time{}
 	return a
 }
@@ -405,7 +406,7 @@
 		return false
 	}
 	n := a.Task.N
-	if n >= j.Tasks || has(j.done, n) || j.held[n] != a || j.strays[n] > 0 {
+	if n >= j.Tasks || has(j.done, n) || j.held[n] != a || j.strays[n] > 0 || j.doubtful(n) || !c.covered(a) {
 		return false
 	}
 	if !j.permits(m.Type, m.Zone, m.Spot) {
@@ -426,12 +427,22 @@
 	return m.Bin.Cap.Sub(sum).Fits(j.req)
 }
 
+// choose plans what a machine that is being answered is to start.
+func (c *Core) choose(m *fleet.Machine, now time.Time) {
+	if c.dirty {
+		c.place(now)
+	}
+	if m.Recorded {
+		c.bind(m, now)
+	}
+}
+
 // Respond compiles what a worker is told in answer to its report. Runs go out
 // here and nowhere else: such a response is dropped when it is late, a direct
 // command is not.
 func (c *Core) Respond(m *fleet.Machine, canRun bool, now time.Time) fleet.Response {
-	if canRun && c.dirty {
-		c.place(now)
+	if canRun {
+		c.choose(m, now)
 	}
 	for _, a := range m.Attempts() {
 		if a.State == fleet.Ended && a.Cause == fleet.CauseDone && !a.Reap {
@@ -445,15 +456,12 @@
 	if !canRun {
 		return resp
 	}
-	if m.Recorded {
-		c.bind(m, now)
-	}
 	for _, a := range append([]*fleet.Attempt(nil), m.Attempts()...) {
 		if a.State != fleet.Planned {
 			continue
 		}
 		if !c.mayRun(a, now) {
-			if !m.Recorded && c.open(m, now) {
+			if (!m.Recorded || !c.covered(a)) && c.open(m, now) {
 				continue // its record is on the way
 			}
 			m.Forget(a)
--- a/internal/dispatch/renting.go
+++ b/internal/dispatch/renting.go
@@ -127,22 +127,24 @@
 // returns gives machines back.
 func (l *Leader) returns(ctx context.Context) {
 	for ledger.Sleep(ctx, l.set.Report/2) == nil {
-		if !l.granted() {
-			continue
-		}
-		l.mu.Lock()
-		hosts := l.core.Returns(time.Now())
-		l.mu.Unlock()
-		if len(hosts) == 0 || !l.granted() {
-			continue
-		}
-		if err := l.cloud.Return(ctx, hosts); err != nil {
-			slog.Debug("return not answered", "machines", hosts, "err", err)
-			continue
+		// Guards against hundreds of machines, of a zone that went silent, that are given
+		// back one call in each interval while all older work waits for the last of them.
+		for full := true; full && l.granted(); {
+			l.mu.Lock()
+			hosts := l.core.Returns(time.Now())
+			l.mu.Unlock()
+			full = len(hosts) == rental.MostNames
+			if len(hosts) == 0 || !l.granted() {
+				break
+			}
+			if err := l.cloud.Return(ctx, hosts); err != nil {
+				slog.Debug("return not answered", "machines", hosts, "err", err)
+				break
+			}
+			l.mu.Lock()
+			l.core.Returned(hosts, time.Now())
+			l.mu.Unlock()
+			l.poke()
 		}
-		l.mu.Lock()
-		l.core.Returned(hosts, time.Now())
-		l.mu.Unlock()
-		l.poke()
 	}
 }
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -229,7 +229,7 @@
 				continue next
 			}
 		}
-		o, found := c.choose(p, j, now)
+		o, found := c.offerFor(p, j, now)
 		if !found {
 			return
 		}
@@ -279,9 +279,9 @@
 
 const mostAlone = 100
 
-// choose picks what to rent for a task: cheap machines where the job permits,
+// offerFor picks what to rent for a task: cheap machines where the job permits,
 // by price for its share, in the zone that has the fewest.
-func (c *Core) choose(p *plan, j *Job, now time.Time) (offer, bool) {
+func (c *Core) offerFor(p *plan, j *Job, now time.Time) (offer, bool) {
 	var best offer
 	bestCost, bestCount, found := 0.0, 0, false
 	for _, name := range c.names {
--- a/internal/dispatch/rounds.go
+++ b/internal/dispatch/rounds.go
@@ -42,6 +42,7 @@
 	}
 	c.preempt(now)
 	c.keep(now)
+	c.ahead(now)
 }
 
 // round observes use, and runs the paper's change on bins that are hot or gape.
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -23,7 +23,8 @@
 			return fmt.Sprintf("%d-%d", l.term, n)
 		})
 	}
-	hosts, done := shelf(ledger.PrefixHosts), newProgress(l.set, shelf(ledger.PrefixDone))
+	hosts, done, sent := shelf(ledger.PrefixHosts), newProgress(l.set, shelf(ledger.PrefixDone)), shelf(ledger.PrefixSent)
+	whole := l.askWitnesses(ctx)
 	now, wall := time.Now(), time.Now()
 	if row, err := l.store.Get(ctx, ledger.KeyTypes); err != nil {
 		return 0, err
@@ -69,6 +70,9 @@
 	}); err != nil {
 		return 0, err
 	}
+	if err := l.loadMarks(ctx, core, sent, whole); err != nil {
+		return 0, err
+	}
 	if l.cfg.Options.Operators {
 		if err := l.loadDrains(ctx, core); err != nil {
 			return 0, err
@@ -77,7 +81,7 @@
 	core.checkSettled(now)
 	slog.Info("took over", "term", l.term, "jobs", len(core.jobs), "machines", len(core.fleet.Sorted()))
 	l.mu.Lock()
-	l.core, l.hosts, l.done = core, hosts, done
+	l.core, l.hosts, l.done, l.sent = core, hosts, done, sent
 	l.mu.Unlock()
 	return epoch, nil
 }
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -36,6 +36,7 @@
 	out   map[string]rental.Request
 	teams []config.Team
 	aims  []config.Objective
+	marks bool
 }
 
 func (s *story) open() *Core {
@@ -47,6 +48,7 @@
 		cfg.Facts.Zones = []string{"a", "b"}
 		cfg.Facts.Teams = append(s.teams, config.Team{Name: "team"})
 		cfg.Facts.Objectives = s.aims
+		cfg.Options.Marks = s.marks
 		s.core = NewCore(SettingsOf(cfg), s.term, s.now)
 		s.core.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, CacheGB: 40, FetchGBps: 0.2, Zones: []string{"a", "b"}}})
 	}
@@ -93,6 +95,9 @@
 	case "term":
 		s.term = uint64(s.num(rest[0], 0))
 		return nil
+	case "marks":
+		s.marks = true
+		return nil
 	case "team":
 		s.teams = append(s.teams, config.Team{Name: rest[0], CPUs: s.num(a["cpus"], 0), CPUsMax: s.num(a["max"], 0)})
 		return nil
@@ -132,6 +137,27 @@
 	case "machine-on-record":
 		c.LoadHost(rest[0], ledger.Host{Addr: rest[0] + ":1", Type: "c4", Zone: or(a["zone"], "a"), Spot: a["spot"] != ""}, s.now)
 		return nil
+	case "marks-on-record":
+		stored := map[string]int{}
+		for id, n := range args(rest[1:]) {
+			stored[id] = int(s.num(n, 0))
+		}
+		c.LoadMarks(stored, rest[0] == "whole")
+		return nil
+	case "marks-stored", "marks-to-store":
+		var out []string
+		for j := range c.marks.raised {
+			out = append(out, fmt.Sprintf("%s: none sent from %d on", j.ID, j.mark.Want))
+			if what == "marks-stored" {
+				j.mark.Keep(j.mark.Want)
+				delete(c.marks.raised, j)
+			}
+		}
+		sort.Strings(out)
+		return or2(out, "no marks to store")
+	case "loose":
+		c.marks.loose = true
+		return nil
 	case "settle":
 		c.checkSettled(s.now)
 		return []string{fmt.Sprintf("settled: %v", c.settled)}
--- /dev/null
+++ b/internal/dispatch/witness.go
@@ -0,0 +1,263 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"drumpick/internal/config"
+	"drumpick/internal/fleet"
+	"drumpick/internal/frontier"
+	"drumpick/internal/ledger"
+	"drumpick/internal/peer"
+)
+
+// askWitnesses asks all controllers what earlier leaders said of the marks in the store,
+// and says whether they are whole. It is asked after the term was won: from then on no
+// witness takes in that an earlier leader goes loose.
+func (l *Leader) askWitnesses(ctx context.Context) bool {
+	if !l.set.Marks {
+		return false
+	}
+	ask := frontier.Word{Term: l.term}
+	words := []frontier.Word{l.witness.Hear(ask)}
+	answers, _ := l.peers.Tell(ctx, ask)
+	for _, a := range answers {
+		if a.Heard != nil {
+			words = append(words, *a.Heard)
+		}
+	}
+	best, ok := frontier.Best(words)
+	if ok {
+		reigns, err := l.reigns(ctx, best.Epoch)
+		whole := err == nil && frontier.Trusted(best, reigns, l.term)
+		slog.Info("marks of what was sent", "term", l.term, "witnessed", best.Term, "whole", whole, "err", err)
+		return whole
+	}
+	row, err := l.store.Get(ctx, ledger.KeyWhole)
+	if err != nil || row == nil {
+		slog.Info("no witness of what was sent", "term", l.term, "asked", len(answers), "err", err)
+		return false
+	}
+	var rec frontier.Record
+	_ = json.Unmarshal(row.Value, &rec) // what is unreadable is of no term
+	_, _, started := l.store.Health()
+	bound := time.Duration(l.cfg.Facts.TimeBoundMS * float64(time.Millisecond))
+	whole := rec.Unbroken(l.cfg.Node, started, l.firm()-config.Drift(l.firm()), bound)
+	if whole {
+		reigns, err := l.reigns(ctx, row.Stamp)
+		whole = err == nil && len(reigns) == 1 && reigns[0].Term == l.term
+	}
+	slog.Info("marks of what was sent, on record", "term", l.term, "recorded", rec.Term, "node", rec.Node, "whole", whole)
+	return whole
+}
+
+// firm is how long after a record that its marks are whole a leader does not go loose:
+// that record serves a process of this node that starts within it. A controller has to be
+// back sooner for that; in an outage of the store starts are held up for no longer.
+func (l *Leader) firm() time.Duration { return max(l.set.Report, l.set.Lease/4) }
+
+// swears is how often, in a firm span, such a record is stored, along with other writes.
+const swears = 5
+
+// takeOath gathers that record when it is due.
+func (l *Leader) takeOath(ws *[]write, fits func(ops, bytes int) bool, now time.Time) bool {
+	rec := frontier.Record{Term: l.term, Node: l.cfg.Node, AtMS: now.UnixMilli()}
+	l.contactMu.Lock()
+	due := l.word.Whole && now.Sub(l.swore) >= l.firm()/swears
+	if due {
+		l.swore = now // whether it is answered or not: it may be stored late
+	}
+	l.contactMu.Unlock()
+	if !due {
+		return true
+	}
+	if !fits(1, ledger.Size(rec)) {
+		return false
+	}
+	*ws = append(*ws, write{ops: []ledger.Op{{Write: ledger.KeyWhole, Value: rec}}, apply: func(uint64) {}})
+	return true
+}
+
+// reigns lists who has taken the leader's key since a revision.
+func (l *Leader) reigns(ctx context.Context, since uint64) ([]frontier.Reign, error) {
+	events, _, err := l.store.Watch(ctx, ledger.KeyLeader, since, 0)
+	if err != nil {
+		return nil, err
+	}
+	var reigns []frontier.Reign
+	for _, e := range events {
+		if e.Write == ledger.KeyLeader {
+			var rec ledger.Leader
+			_ = json.Unmarshal(e.Value, &rec) // what is unreadable keeps no marks
+			reigns = append(reigns, frontier.Reign{Term: e.Stamp, Marks: rec.Marks})
+		}
+	}
+	return reigns, nil
+}
+
+// loadMarks reads the marks. One that cannot be read may stand for any task.
+func (l *Leader) loadMarks(ctx context.Context, core *Core, shelf *ledger.Shelf, whole bool) error {
+	if !l.set.Marks {
+		return nil
+	}
+	stored := map[string]int{}
+	if err := l.loadShelf(ctx, ledger.PrefixSent, shelf, func(id string, v json.RawMessage) error {
+		n, err := ledger.ParseMark(v)
+		if err != nil {
+			whole = false
+			return err
+		}
+		// Of two values that hold the same job one may be older.
+		stored[id] = max(stored[id], n)
+		return nil
+	}); err != nil {
+		return err
+	}
+	for id := range stored {
+		if core.jobs[id] == nil {
+			shelf.Remove(id)
+		}
+	}
+	core.LoadMarks(stored, whole)
+	return nil
+}
+
+// takeMarks gathers the marks that have changed, and says whether all fit.
+func (l *Leader) takeMarks(ws *[]write, fits func(ops, bytes int) bool) bool {
+	c := l.core
+	for j := range c.marks.raised {
+		delete(c.marks.raised, j)
+		if !j.over {
+			v := ledger.Mark(j.mark.Want)
+			l.sent.Put(j.ID, v, len(v))
+		}
+	}
+	for _, b := range l.sent.Changed() {
+		if !fits(1, l.valueBytes()) {
+			return false
+		}
+		op, _, ids := l.sent.Take(b)
+		entries, _ := op.Value.(map[string]json.RawMessage)
+		*ws = append(*ws, write{
+			ops: []ledger.Op{op},
+			apply: func(uint64) {
+				for _, id := range ids {
+					l.sent.Thaw(id)
+					if n, err := ledger.ParseMark(entries[id]); err == nil && c.jobs[id] != nil {
+						c.jobs[id].mark.Keep(n)
+					}
+				}
+			},
+			refused: func() {
+				for _, id := range l.sent.Refused(b) {
+					l.sent.Put(id, entries[id], len(entries[id]))
+				}
+			},
+		})
+	}
+	return true
+}
+
+// dropMarks takes away the marks of jobs that are over.
+func (l *Leader) dropMarks() {
+	for _, id := range l.over {
+		l.sent.Remove(id)
+	}
+	l.over = l.over[:0]
+}
+
+// marked plans what a machine that is being answered is to start, and waits a moment for
+// marks that it lacks, with the lock held before and after. It says whether the machine's
+// report is still the last we know.
+func (l *Leader) marked(m *fleet.Machine, now time.Time) bool {
+	l.core.choose(m, now)
+	if _, failing, _ := l.store.Health(); failing || !l.core.lacksMark(m) {
+		return true
+	}
+	return l.await(m, func() bool { return !l.core.lacksMark(m) })
+}
+
+// led notes a revision at which the term held its key.
+func (l *Leader) led(stamp uint64) {
+	l.contactMu.Lock()
+	l.word.Epoch = max(l.word.Epoch, stamp)
+	l.contactMu.Unlock()
+}
+
+// announce tells the others how the marks stand, now and then, since one of them may have
+// started meanwhile. Marks are whole again after an outage when the store has all.
+func (l *Leader) announce(ctx context.Context) {
+	if !l.set.Marks {
+		return
+	}
+	// In this order: once they are no longer loose, whatever was sent while they were is
+	// in what is looked at next.
+	stored := !l.isLoose(time.Now())
+	l.mu.Lock()
+	stored = stored && l.core.marks.whole
+	for _, j := range l.core.jobs {
+		stored = stored && j.mark.Stored >= j.mark.Want
+	}
+	l.mu.Unlock()
+	l.contactMu.Lock()
+	changed := stored && !l.word.Whole
+	if changed {
+		l.word.Whole, l.word.Seq = true, l.word.Seq+1
+	}
+	word := l.word
+	l.contactMu.Unlock()
+	if word.Seq > 0 && (changed || time.Since(l.told) >= l.set.Report) {
+		l.told = time.Now()
+		l.witness.Hear(word)
+		l.peers.Tell(ctx, word)
+	}
+}
+
+// loosen is the word with which a leader asks to send tasks beyond marks that it cannot
+// have stored.
+func (l *Leader) loosen() frontier.Word {
+	if !l.set.Marks {
+		return frontier.Word{}
+	}
+	l.contactMu.Lock()
+	defer l.contactMu.Unlock()
+	if l.word.Whole || l.word.Seq == 0 {
+		l.word.Whole, l.word.Seq = false, l.word.Seq+1
+	}
+	l.witness.Hear(l.word)
+	return l.word
+}
+
+// loosened takes in who has heard that word. Only when all have, no witness is left that
+// would tell a next leader otherwise.
+func (l *Leader) loosened(word frontier.Word, answers []peer.Status, all bool, asked time.Time) {
+	took := time.Since(asked)
+	for _, a := range answers {
+		// Guards against one that was barred by a new leader and has restarted since we
+		// asked: the store has been silent to it, by its word, only since then.
+		since := time.Duration(a.StoreSilentMS) * time.Millisecond
+		all = all && a.Heard != nil && word.Heard(*a.Heard) && since > took
+	}
+	if !all || word.Term == 0 {
+		return
+	}
+	l.contactMu.Lock()
+	defer l.contactMu.Unlock()
+	// Nor does what the store may have say otherwise.
+	if l.word.Seq == word.Seq && !l.word.Whole && asked.Sub(l.swore) > l.firm() {
+		if l.loose.IsZero() {
+			slog.Info("marks are loose: the store does not answer, and all others know", "term", l.term, "heard", fmt.Sprint(len(answers)))
+		}
+		l.loose = asked.Add(l.set.Report)
+	}
+}
+
+// isLoose says whether tasks beyond marks may be sent now.
+func (l *Leader) isLoose(now time.Time) bool {
+	l.contactMu.Lock()
+	defer l.contactMu.Unlock()
+	return now.Before(l.loose)
+}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -17,7 +17,12 @@
 	PrefixOver  = "jobs/over/"
 	PrefixDone  = "done/"
 	PrefixHosts = "machines/"
-	KeyTypes    = "types"
+	// From which task on none of a job was ever sent (package frontier). Versions that
+	// keep no marks leave it alone.
+	PrefixSent = "sent/"
+	// KeyWhole is when the last leader's marks were last whole.
+	KeyWhole = "whole"
+	KeyTypes = "types"
 	// What operators asked for, and how it stands. Versions that know of no drains leave
 	// both alone.
 	PrefixDrains = "drains/"
@@ -28,6 +33,8 @@
 type Leader struct {
 	Node  string `json:"node"`
 	Start string `json:"start"` // id of the process's own start
+	// Marks says that it keeps marks of what it sends (package frontier).
+	Marks bool `json:"marks,omitempty"`
 }
 
 // Job is an accepted job, as users describe it plus when it was accepted.
@@ -130,6 +137,23 @@
 	return id, chunk, ok && err == nil && chunk >= 0
 }
 
+// Mark is the text form of how far into a job tasks may have been sent, as wide for
+// every number, so that it never outgrows its place in a value.
+func Mark(n int) json.RawMessage { return fmt.Appendf(nil, "\"%06d\"", n) }
+
+// ParseMark is the reverse.
+func ParseMark(v json.RawMessage) (int, error) {
+	var s string
+	if err := json.Unmarshal(v, &s); err != nil {
+		return 0, err
+	}
+	n, err := strconv.Atoi(s)
+	if err == nil && n < 0 {
+		err = errors.New("below zero")
+	}
+	return n, err
+}
+
 // Zeros tells how many zeros stand before the number of a chunk.
 func Zeros(s string) int {
 	_, c, _ := strings.Cut(s, "/")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"drumpick/internal/config"
+	"drumpick/internal/frontier"
 	"drumpick/internal/link"
 
 	"github.com/gofiber/fiber/v2"
@@ -24,6 +25,9 @@
 	Answered      bool   `msgpack:"answered"`  // the store has answered since the start
 	Failing       bool   `msgpack:"failing"`   // its last request failed
 	QuietMS       int64  `msgpack:"quiet_ms"`  // since a user was last told of a cancellation, or since the start
+	// Heard is what it remembers of leaders' words about their marks. Versions without
+	// marks leave it out.
+	Heard *frontier.Word `msgpack:"heard,omitempty"`
 }
 
 // StatusOf says how the store serves a controller; quiet is since a user was
@@ -124,7 +128,12 @@
 }
 
 // Status asks every other controller. all is true when every one answered.
-func (p *Peers) Status(context.Context) (answers []Status, all bool) {
+func (p *Peers) Status(ctx context.Context) (answers []Status, all bool) {
+	return p.Tell(ctx, frontier.Word{})
+}
+
+// Tell is Status with a leader's word about its marks; a zero word tells nothing.
+func (p *Peers) Tell(_ context.Context, word frontier.Word) (answers []Status, all bool) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for i := range p.seeds {
@@ -132,7 +141,7 @@
 		go func() {
 			defer wg.Done()
 			var s Status
-			if p.call(i, "/peer/status", struct{}{}, &s, p.timeout) == nil {
+			if p.call(i, "/peer/status", word, &s, p.timeout) == nil {
 				mu.Lock()
 				answers = append(answers, s)
 				mu.Unlock()
@@ -195,7 +204,7 @@
 // Handlers are what a controller answers its peers with.
 type Handlers struct {
 	Operate  func(Relay) Relayed // nil where operators are not served
-	Status   func() Status
+	Status   func(frontier.Word) Status
 	Progress func(id string) Progress
 	Relay    func(Relay) Relayed
 	Checkin  func(Checkin) Relayed
@@ -203,7 +212,14 @@
 
 // Mount serves the handlers on the back address.
 func Mount(app *fiber.App, h Handlers) {
-	app.Post("/peer/status", func(c *fiber.Ctx) error { return send(c, h.Status()) })
+	app.Post("/peer/status", func(c *fiber.Ctx) error {
+		// Versions without marks send a word that says nothing.
+		var word frontier.Word
+		if err := msgpack.Unmarshal(c.Body(), &word); err != nil {
+			return c.SendStatus(400)
+		}
+		return send(c, h.Status(word))
+	})
 	app.Post("/peer/progress", func(c *fiber.Ctx) error {
 		var a Ask
 		if err := msgpack.Unmarshal(c.Body(), &a); err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"drumpick/internal/config"
+	"drumpick/internal/frontier"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/vmihailenco/msgpack/v5"
@@ -29,7 +30,7 @@
 	}
 	app := fiber.New(fiber.Config{DisableStartupMessage: true})
 	Mount(app, Handlers{
-		Status:   func() Status { return StatusOf("n-1", health{started: time.Now()}, time.Minute) },
+		Status:   func(frontier.Word) Status { return StatusOf("n-1", health{started: time.Now()}, time.Minute) },
 		Progress: func(id string) Progress { return Progress{Known: id == "j-1", Status: "running", Done: 2, Running: 3} },
 		Relay: func(r Relay) Relayed {
 			if r.ID == "j-503" {
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -14,6 +14,7 @@
 	"drumpick/internal/config"
 	"drumpick/internal/dispatch"
 	"drumpick/internal/fleet"
+	"drumpick/internal/frontier"
 	"drumpick/internal/intake"
 	"drumpick/internal/ledger"
 	"drumpick/internal/peer"
@@ -27,6 +28,7 @@
 	client *Client
 	ten    *tenure.Tenure
 	server *intake.Server
+	heard  frontier.Witness
 	leader *dispatch.Leader
 	cancel context.CancelFunc
 	gone   chan struct{}
@@ -45,6 +47,7 @@
 	start int
 	deaf  map[int]bool // nodes that workers cannot reach
 	paced bool         // leaders keep to their share of the write rate
+	plain map[int]bool // nodes that keep no marks, as earlier versions do
 }
 
 const names = "n-0 n-1 n-2"
@@ -57,13 +60,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		cfg := &config.Config{Options: config.DefaultOptions()}
+		cfg.Options.Marks = true
 		cfg.Facts = config.Facts{
 			Nodes: 3, Zones: []string{"a", "b"}, Teams: []config.Team{{Name: "team"}, {Name: "other"}},
 			Workers: config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 5, CancelS: 30},
 			State:   config.State{RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 16},
 			Cloud:   config.Cloud{RPS: 4, ListLagS: 3},
 		}
-		c := &cluster{t: t, ctx: ctx, state: NewState(), world: NewWorld(ctx), cfg: cfg, jobs: map[string]ledger.Job{}, nodes: make([]*node, 3), deaf: map[int]bool{}}
+		c := &cluster{t: t, ctx: ctx, state: NewState(), world: NewWorld(ctx), cfg: cfg, jobs: map[string]ledger.Job{}, nodes: make([]*node, 3), deaf: map[int]bool{}, plain: map[int]bool{}}
 		w := c.world
 		w.Every, w.Lease, w.Startup, w.Cancel = 2*time.Second, 12*time.Second, 20*time.Second, 30*time.Second
 		w.Capacity = 50
@@ -107,8 +111,9 @@
 	if c.paced {
 		n.client.Share(c.cfg.Facts.State.Lowest().WriteRPS / 2)
 	}
-	n.ten = tenure.New(n.client, name, fmt.Sprint("start-", c.start), 4*time.Second)
 	cfg := *c.cfg
+	cfg.Options.Marks = cfg.Options.Marks && !c.plain[i]
+	n.ten = tenure.New(n.client, name, fmt.Sprint("start-", c.start), 4*time.Second, cfg.Options.Marks)
 	cfg.Node = name
 	for j, other := range strings.Fields(names) {
 		if j != i {
@@ -130,7 +135,7 @@
 	go func() {
 		defer close(n.gone)
 		n.ten.Run(ctx, func(ctx context.Context, term uint64) {
-			l := dispatch.NewLeader(&cfg, n.client, cloud, n.ten, peers, c.world, n.server.Quiet, term)
+			l := dispatch.NewLeader(&cfg, n.client, cloud, n.ten, peers, c.world, &n.heard, n.server.Quiet, term)
 			c.mu.Lock()
 			n.leader = l
 			c.mu.Unlock()
@@ -205,7 +210,11 @@
 	me int
 }
 
-func (f *friends) Status(context.Context) ([]peer.Status, bool) {
+func (f *friends) Status(ctx context.Context) ([]peer.Status, bool) {
+	return f.Tell(ctx, frontier.Word{})
+}
+
+func (f *friends) Tell(_ context.Context, word frontier.Word) ([]peer.Status, bool) {
 	time.Sleep(latency)
 	var out []peer.Status
 	for i := range f.c.nodes {
@@ -213,7 +222,12 @@
 		if i == f.me || n == nil {
 			continue
 		}
-		out = append(out, peer.StatusOf(n.name, n.client, n.server.Quiet()))
+		s := peer.StatusOf(n.name, n.client, n.server.Quiet())
+		if !f.c.plain[i] {
+			heard := n.heard.Hear(word)
+			s.Heard = &heard
+		}
+		out = append(out, s)
 	}
 	return out, len(out) == len(f.c.nodes)-1
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -31,6 +31,7 @@
 	store       Store
 	node, start string
 	life        time.Duration
+	marks       bool // the leader's record says that it keeps marks
 
 	mu     sync.Mutex
 	leader string // node that leads, as far as known
@@ -41,8 +42,9 @@
 }
 
 // New returns a tenure for this process; start must differ for every start.
-func New(store Store, node, start string, life time.Duration) *Tenure {
-	return &Tenure{store: store, node: node, start: start, life: life}
+// marks says whether a term of this process keeps marks of what it sends.
+func New(store Store, node, start string, life time.Duration, marks bool) *Tenure {
+	return &Tenure{store: store, node: node, start: start, life: life, marks: marks}
 }
 
 // Leader names the node that leads, "" when unknown.
@@ -129,7 +131,7 @@
 	}
 	epoch, err := t.store.Commit(ctx,
 		[]ledger.Cond{{Key: ledger.KeyLeader, Stamp: stamp}},
-		[]ledger.Op{{Write: ledger.KeyLeader, Value: ledger.Leader{Node: t.node, Start: t.start}, Hold: hold}})
+		[]ledger.Op{{Write: ledger.KeyLeader, Value: ledger.Leader{Node: t.node, Start: t.start, Marks: t.marks}, Hold: hold}})
 	if err == nil {
 		return epoch, hold, sent, nil
 	}
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -72,7 +72,7 @@
 		case "start":
 			ctx, cancel := context.WithCancel(context.Background())
 			p := &process{client: state.Client(w[1]), cancel: cancel, gone: make(chan struct{})}
-			p.ten = tenure.New(p.client, w[1], w[2], 4*time.Second)
+			p.ten = tenure.New(p.client, w[1], w[2], 4*time.Second, false)
 			nodes[w[1]] = p
 			go func() {
 				defer close(p.gone)
