Of two drains asked for at once one is refused; an unknown command is named once

Cause: two drains, each of which leaves enough machines without the other, were both accepted when asked for in the same moment: each was planned before the other was on record, and both were stored. drumpickctl named itself twice for a command that does not exist.

Ruled out: the leader's word alone (it changes hands), a limit of one drain at a time.

Change: a drain is stored on the condition that no other was since the turn at which it was planned, and it is planned by a leader that has read all on record at that turn; otherwise it is planned again.

Seen: a test in which the second is stored while the first is being planned; it is refused then.

--- a/cmd/drumpickctl/main.go
+++ b/cmd/drumpickctl/main.go
@@ -145,7 +145,7 @@
 		cmd.Args = cobra.ArbitraryArgs
 		cmd.RunE = func(cmd *cobra.Command, args []string) error {
 			if len(args) > 0 {
-				return usage("%s: unknown command %q", cmd.CommandPath(), args[0])
+				return usage("unknown command %q for %q", args[0], cmd.CommandPath())
 			}
 			return cmd.Help()
 		}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -27,6 +27,9 @@
 	// both alone.
 	PrefixDrains = "drains/"
 	PrefixDrain  = "drainstate/"
+	// KeyDrainTurn is written along with each new drain: of two that were planned beside
+	// the same others only one is stored.
+	KeyDrainTurn = "drainturn"
 )
 
 // Leader is the value of the leader key.
--- a/internal/operator/drains.go
+++ b/internal/operator/drains.go
@@ -30,6 +30,9 @@
 	drain.Spec
 	Force bool   `json:"force,omitempty"` // though no machine is left for some jobs
 	Since string `json:"since,omitempty"` // of a plan: the last machine of the page before
+	// Seen names the drains beside which a new one is planned; a leader that has not read
+	// them all cannot say whether both together leave enough.
+	Seen []string `json:"seen,omitempty"`
 }
 
 // Drains are those on record.
@@ -108,31 +111,56 @@
 		return answer(400, failure{why})
 	}
 	key := ledger.PrefixDrains + in.ID
-	row, err := s.store.Get(ctx, key)
-	if err != nil {
-		return errStore
-	}
-	if row != nil {
-		return again(in.Spec, row)
-	}
-	// Whether it can be, the leader knows; it changes nothing.
-	if out := s.plan(in); out.Status != 200 {
-		return out
-	}
-	_, err = s.store.Commit(ctx, []ledger.Cond{{Key: key}}, []ledger.Op{{Write: key, Value: in.Spec}})
-	var conflict *ledger.ConflictError
-	switch {
-	case err == nil:
-		slog.Info("drain accepted", "drain", in.ID, "kind", in.Kind, "zone", in.Zone, "machines", len(in.Machines))
-		return answer(201, dispatch.DrainView{Spec: in.Spec})
-	case errors.As(err, &conflict):
-		if row, err := s.store.Get(ctx, key); err == nil && row != nil {
+	for {
+		// In this order: what is on record at the turn, the leader has to have read.
+		var stamp uint64
+		turn, err := s.store.Get(ctx, ledger.KeyDrainTurn)
+		if err != nil {
+			return errStore
+		}
+		if turn != nil {
+			stamp = turn.Stamp
+		}
+		in.Seen = in.Seen[:0]
+		var row *ledger.Row
+		if _, err := s.store.List(ctx, ledger.PrefixDrains, func(r ledger.Row) error {
+			if in.Seen = append(in.Seen, strings.TrimPrefix(r.Key, ledger.PrefixDrains)); r.Key == key {
+				row = &r
+			}
+			return nil
+		}); err != nil {
+			return errStore
+		}
+		if row != nil {
 			return again(in.Spec, row)
 		}
+		// Whether it can be, the leader knows; it changes nothing.
+		if out := s.plan(in); out.Status == statusUnread && ledger.Sleep(ctx, s.wait/20) == nil {
+			continue
+		} else if out.Status == statusUnread {
+			return answer(503, failure{"the leader has not read all drains yet; please retry"})
+		} else if out.Status != 200 {
+			return out
+		}
+		// Guards against two drains asked for in the same moment, each of which leaves enough
+		// without the other.
+		_, err = s.store.Commit(ctx, []ledger.Cond{{Key: key}, {Key: ledger.KeyDrainTurn, Stamp: stamp}},
+			[]ledger.Op{{Write: key, Value: in.Spec}, {Write: ledger.KeyDrainTurn, Value: in.ID}})
+		var conflict *ledger.ConflictError
+		switch {
+		case err == nil:
+			slog.Info("drain accepted", "drain", in.ID, "kind", in.Kind, "zone", in.Zone, "machines", len(in.Machines))
+			return answer(201, dispatch.DrainView{Spec: in.Spec})
+		case !errors.As(err, &conflict):
+			return errStore // it may have been stored: the retry finds out
+		}
 	}
-	return errStore // it may have been stored: the retry finds out
 }
 
+// statusUnread is a leader's answer, to controllers alone, that it has not read a drain
+// beside which it is to plan another.
+const statusUnread = 425
+
 // again answers a request for a drain that is on record.
 func again(spec drain.Spec, row *ledger.Row) peer.Relayed {
 	var old drain.Spec
@@ -256,6 +284,11 @@
 	if err := json.Unmarshal(r.Body, &in); err != nil {
 		return answer(400, failure{err.Error()})
 	}
+	for _, id := range in.Seen {
+		if _, ok := l.Drain(id); !ok {
+			return answer(statusUnread, failure{"the leader has not read the drain " + id})
+		}
+	}
 	p, err := l.PlanDrain(&in.Spec, in.Force, in.Since, pageTasks)
 	var none *dispatch.NoMachineError
 	var left *dispatch.NoneLeftError
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,6 +27,9 @@
 	machines []dispatch.MachineView
 	refuse   error
 	planned  []drain.Spec
+	mu       sync.Mutex
+	read     map[string]bool // drains that it knows
+	asked    func()          // what happens when it has planned one
 }
 
 func (l *lead) Machines(since string, limit int) ([]dispatch.MachineView, bool) {
@@ -45,10 +49,25 @@
 	return l.machines[i], true
 }
 
-func (l *lead) Drain(string) (dispatch.DrainView, bool) { return dispatch.DrainView{}, false }
+// Drain knows all drains but those that it is said not to have read.
+func (l *lead) know(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.read = map[string]bool{id: true}
+}
+
+func (l *lead) Drain(id string) (dispatch.DrainView, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return dispatch.DrainView{}, l.read[id]
+}
 
 func (l *lead) PlanDrain(spec *drain.Spec, force bool, _ string, _ int) (*drain.Plan, error) {
 	l.planned = append(l.planned, *spec)
+	if f := l.asked; f != nil {
+		l.asked = nil
+		f()
+	}
 	var none *dispatch.NoneLeftError
 	if force && errors.As(l.refuse, &none) {
 		return &drain.Plan{}, nil
@@ -151,6 +170,7 @@
 			t.Errorf("%s %.60s: %d records", x.path, x.body, n)
 		}
 	}
+	o.lead.read = map[string]bool{"d-1": true}
 	// What the leader refuses is not stored; a drain that leaves no machine, by force.
 	o.lead.refuse = &dispatch.NoMachineError{Text: "there is no machine m-7"}
 	if status, text := o.ask("n-1", "POST", "/operator/drains", `{"id":"d-4","machines":["m-7"]}`); status != 404 || !strings.Contains(text, "m-7") {
@@ -228,3 +248,22 @@
 		t.Errorf("an unknown machine: %d", status)
 	}
 }
+
+// Two drains asked for in the same moment, each of which leaves enough without the other:
+// the second is planned once more, beside the first, by a leader that has read it.
+func TestTwoDrainsAtOnce(t *testing.T) {
+	o := newOffice(t)
+	o.lead.asked = func() {
+		if status, text := o.ask("n-1", "POST", "/operator/drains", `{"id":"d-2","zone":"b"}`); status != 201 {
+			t.Errorf("the one that is quicker: %d %s", status, text)
+		}
+		o.lead.refuse = &dispatch.NoneLeftError{Text: "no machine for jobs of plan"}
+		time.AfterFunc(100*time.Millisecond, func() { o.lead.know("d-2") })
+	}
+	if status, text := o.ask("n-0", "POST", "/operator/drains", `{"id":"d-1","zone":"a"}`); status != 409 || !strings.Contains(text, "no machine") {
+		t.Errorf("the other one: %d %s", status, text)
+	}
+	if keys := o.state.Keys("drains/"); len(keys) != 1 || keys[0] != "drains/d-2" {
+		t.Errorf("on record: %v", keys)
+	}
+}
