Every controller takes reports; a leader that falls behind leaves starts out

The other controllers are idle.

How late the leader is (package means) decides what it leaves out: plans and starts, never leases, exits or cancellations; it rents no more than it heard. Marks are gathered, small jobs and chains marked when they come, and no task goes to a machine before its mark is stored. Off by default: [relay] enabled, [overload] shed.

--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -95,6 +95,10 @@
 	if cfg.Options.Operators {
 		handlers.Operate = operators.Decide
 	}
+	if cfg.Options.Relay {
+		handlers.Checkins = server.Bundled
+		go server.Offer(ctx)
+	}
 	peer.Mount(backApp, handlers)
 	backApp.Get("/metrics", func(c *fiber.Ctx) error {
 		metrics.WritePrometheus(c.Response().BodyWriter(), true)
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -19,6 +19,8 @@
 	SpreadRefused float64 // pause after "no capacity", in startup times
 	Operators     bool    // operators are served beside users
 	Marks         bool    // the store says how far jobs were sent, for takeovers
+	Relay         bool    // controllers pass workers' reports on to the leader
+	Shed          bool    // a leader that falls behind leaves starts out
 }
 
 // DefaultOptions are used for whatever the INI file does not set.
@@ -74,6 +76,8 @@
 	}{
 		{"operator", "enabled", &o.Operators},
 		{"takeover", "marks", &o.Marks},
+		{"relay", "enabled", &o.Relay},
+		{"overload", "shed", &o.Shed},
 	} {
 		known[e.section+"."+e.key] = true
 		if !f.Section(e.section).HasKey(e.key) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -15,6 +15,7 @@
 	"drumpick/internal/forecast"
 	"drumpick/internal/frontier"
 	"drumpick/internal/ledger"
+	"drumpick/internal/means"
 	"drumpick/internal/packing"
 )
 
@@ -30,6 +31,7 @@
 	Teams                          map[string]config.Team
 	Forecast                       forecast.Params
 	Marks                          bool // nothing is sent that the store has not marked
+	Shed                           bool // starts are left out when the leader falls behind
 }
 
 // SettingsOf derives them from the configuration.
@@ -47,7 +49,7 @@
 		ChunkTasks:   ledger.ChunkTasks(c.Facts.State.ValueKB),
 		PartTasks:    ledger.PartTasks(ledger.ChunkTasks(c.Facts.State.ValueKB), c.Facts.State.Lowest().ValueKB),
 		IdleStartups: c.Options.IdleStartups, RefusedStartups: c.Options.SpreadRefused,
-		Zones: c.Facts.Zones, Objectives: c.Facts.Objectives, Marks: c.Options.Marks,
+		Zones: c.Facts.Zones, Objectives: c.Facts.Objectives, Marks: c.Options.Marks, Shed: c.Options.Shed,
 		Teams: map[string]config.Team{},
 		Forecast: forecast.Params{
 			Up: c.Options.AlphaUp, Down: c.Options.AlphaDown,
@@ -191,11 +193,14 @@
 	fewUnheard bool             // of the machines on record at the takeover, few have not been heard
 	unsent     []*fleet.Attempt // planned, in the order of their turns, and maybe no longer so
 	closed     []string         // jobs whose finished tasks need no record any more
+	dropped    []string         // machines that need no record any more
 	marks      marks
-	owners     []*Job       // jobs that have claims
-	drains     []*drainWork // what operators asked for, by id
-	lastDrain  time.Time    // when it was last looked at
-	draining   bool         // any of it holds now
+	means      *means.Governor // how far the leader falls behind
+	late       time.Duration   // by how much anything waited since the last look
+	owners     []*Job          // jobs that have claims
+	drains     []*drainWork    // what operators asked for, by id
+	lastDrain  time.Time       // when it was last looked at
+	draining   bool            // any of it holds now
 
 	// Kick lists machines that should hear orders at once, not at their next report.
 	kick map[string]bool
@@ -206,7 +211,8 @@
 	return &Core{
 		set: set, term: term, jobs: map[string]*Job{}, chain: chain.New(), alike: map[likeness]int{}, types: map[string]ledger.MachineType{},
 		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{}, marks: newMarks(),
-		rent: newRentState(), spaces: map[string]*packing.Space{},
+		means: means.New(set.Report, set.Report/tickShare),
+		rent:  newRentState(), spaces: map[string]*packing.Space{},
 	}
 }
 
@@ -297,6 +303,7 @@
 	c.resort, c.dirty = true, true
 	c.link(j)
 	c.suspect(j)
+	c.foresee(j)
 	return j
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -18,6 +18,7 @@
 	preemptedTotal = metrics.NewCounter("drumpick_preempted_total")
 	lostTotal      = metrics.NewCounter("drumpick_attempts_lost_total")
 	startSeconds   = metrics.NewHistogram("drumpick_task_wait_seconds")
+	lateSeconds    = metrics.NewGauge("drumpick_late_seconds", nil)
 	drainedTasks   = metrics.NewCounter("drumpick_drained_total")
 )
 
@@ -389,6 +390,7 @@
 		c.gone(a, now)
 	}
 	c.dirty = true
+	c.dropped = append(c.dropped, host)
 	if !c.settled {
 		c.checkSettled(now)
 	}
--- a/internal/dispatch/flush.go
+++ b/internal/dispatch/flush.go
@@ -91,11 +91,12 @@
 		}
 		l.hosts.Put(m.Host, raw, len(raw))
 	}
-	for host := range l.hosts.IDs() {
+	for _, host := range c.dropped {
 		if c.fleet.Machines[host] == nil {
 			l.hosts.Remove(host)
 		}
 	}
+	c.dropped = c.dropped[:0]
 	if !l.takeHosts(&ws, fits) {
 		return ws
 	}
@@ -151,7 +152,9 @@
 			},
 			refused: func() {
 				for _, id := range l.hosts.Refused(b) {
-					l.hosts.Put(id, entries[id], len(entries[id]))
+					if l.core.fleet.Machines[id] != nil {
+						l.hosts.Put(id, entries[id], len(entries[id]))
+					}
 				}
 			},
 		})
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -69,6 +69,8 @@
 	wake    chan struct{} // something is to be stored
 	flushed time.Time     // when finished tasks were last gathered
 	over    []string      // jobs whose marks are of no use any more
+	marksAt time.Time     // when marks were last gathered
+	needed  bool          // a task waits for its mark
 	logged  chan struct{} // closed, and replaced, when machines have come on record
 
 	contactMu sync.Mutex
@@ -219,6 +221,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.core.late = max(l.core.late, time.Since(now))
 	if r.Baton > l.term {
 		// Somebody leads with a higher term: not we.
 		l.tenure.Resign()
@@ -246,19 +249,28 @@
 	if can && !l.mayStart() {
 		return 503, fleet.Response{}
 	}
-	if l.core.unstored() || len(l.core.marks.raised) > 0 {
+	if l.core.unstored() {
 		l.poke()
 	}
 	l.core.Answered(m, time.Now())
 	return 200, resp
 }
 
+// Late notes by how much something waited before this controller got to it, as others
+// felt it.
+func (l *Leader) Late(d time.Duration) {
+	l.mu.Lock()
+	l.core.late = max(l.core.late, d)
+	l.mu.Unlock()
+}
+
 // await waits a moment, with the lock held before and after, until what a machine needs
 // is on record: what waits then starts with this answer, and not a report interval
 // later. It says whether the machine's report is still the last we know.
 func (l *Leader) await(m *fleet.Machine, ready func() bool) bool {
 	stint, tick := m.Stint, m.Tick
-	over := time.NewTimer(l.set.Report / 4)
+	// Others that came in the same bundle wait along.
+	over := time.NewTimer(l.set.Report / 16)
 	defer over.Stop()
 	for waiting := true; waiting && !ready() && l.granted(); {
 		logged := l.logged
@@ -296,17 +308,18 @@
 	return l.core.Progress(id)
 }
 
+// tickShare is the part of a report interval, one in so many, between two ticks.
+const tickShare = 8
+
 // tick does what time brings, and sends kills out at once.
 func (l *Leader) tick(ctx context.Context) {
-	every := l.set.Report / 8
-	for ledger.Sleep(ctx, every) == nil {
+	every := l.set.Report / tickShare
+	for began := time.Now(); ledger.Sleep(ctx, every) == nil; began = time.Now() {
 		now := time.Now()
 		can := l.mayStart()
 		l.mu.Lock()
+		l.core.Look(now.Sub(began), now)
 		l.core.Tick(now, can)
-		if len(l.core.marks.raised) > 0 {
-			l.poke()
-		}
 		type call struct {
 			host, addr string
 			body       fleet.Direct
--- a/internal/dispatch/marks.go
+++ b/internal/dispatch/marks.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"drumpick/internal/fleet"
+	"drumpick/internal/frontier"
 	"drumpick/internal/ledger"
 )
 
@@ -124,6 +125,18 @@
 	}
 }
 
+// foresee marks what of a new job will be wanted at once when its turn comes: urgent jobs'
+// first tasks, and small jobs and those that wait for others whole. Guards against a
+// chain each step of which waits for the store.
+func (c *Core) foresee(j *Job) {
+	switch {
+	case len(j.Prereqs) > 0 || j.Tasks <= 2*frontier.Ahead:
+		c.raise(j, j.Tasks-1)
+	case prioRank[j.Priority] <= prioRank[ledger.PrioUrgent]:
+		c.raise(j, 0)
+	}
+}
+
 // covered says whether a task that is planned may be sent as far as marks go.
 func (c *Core) covered(a *fleet.Attempt) bool {
 	if !c.set.Marks || c.marks.loose {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -7,6 +7,7 @@
 
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
+	"drumpick/internal/means"
 	"drumpick/internal/packing"
 )
 
@@ -309,7 +310,9 @@
 			continue // sent, or given up
 		}
 		j := c.jobOf(a)
-		if j == nil || a.Machine == m || !j.plain() || !m.Bin.Joins(j.req) || !j.permits(m.Type, m.Zone, m.Spot) ||
+		// Guards against a task that lacks its mark and goes to the first machine that
+		// reports: it would wait there for the next report.
+		if j == nil || a.Machine == m || !c.covered(a) || !j.plain() || !m.Bin.Joins(j.req) || !j.permits(m.Type, m.Zone, m.Spot) ||
 			m.Type != a.Machine.Type || m.Spot && !a.Machine.Spot || spared(m, j) || m.Empty() && len(a.Machine.Bin.Items()) > 1 ||
 			c.fetch(j) > 0 && !m.Bin.Marked(j.ready) && a.Machine.Bin.Marked(j.ready) {
 			keep = append(keep, a)
@@ -429,7 +432,7 @@
 
 // choose plans what a machine that is being answered is to start.
 func (c *Core) choose(m *fleet.Machine, now time.Time) {
-	if c.dirty {
+	if c.dirty && c.means.Level() == means.Easy {
 		c.place(now)
 	}
 	if m.Recorded {
@@ -460,6 +463,9 @@
 		if a.State != fleet.Planned {
 			continue
 		}
+		if j := c.jobOf(a); j != nil && c.putOff(j) {
+			continue
+		}
 		if !c.mayRun(a, now) {
 			if (!m.Recorded || !c.covered(a)) && c.open(m, now) {
 				continue // its record is on the way
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -9,6 +9,7 @@
 
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
+	"drumpick/internal/means"
 	"drumpick/internal/packing"
 	"drumpick/internal/rental"
 )
@@ -66,7 +67,7 @@
 // what waits, less what is booting, and no more than the work can keep busy
 // for about as long as a machine takes to start.
 func (c *Core) Wants(now time.Time) []rental.Request {
-	if !c.rent.ready || len(c.types) == 0 {
+	if !c.rent.ready || len(c.types) == 0 || c.means.Level() > means.Easy {
 		return nil
 	}
 	p := &plan{
@@ -125,6 +126,11 @@
 			most := int(math.Ceil(work/horizon)) - have[o.typ]
 			n = min(n, max(most, p.urgent[o]))
 		}
+		all := 0
+		for _, k := range have {
+			all += k
+		}
+		n = c.means.Room(all, n)
 		have[o.typ] += max(n, 0)
 		if n <= 0 || asked[o] {
 			continue
--- a/internal/dispatch/rounds.go
+++ b/internal/dispatch/rounds.go
@@ -6,6 +6,7 @@
 
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
+	"drumpick/internal/means"
 	"drumpick/internal/packing"
 )
 
@@ -34,17 +35,50 @@
 	if len(c.drains) > 0 && now.Sub(c.lastDrain) >= c.set.Report {
 		c.drain(now)
 	}
-	if now.Sub(c.lastRound) >= c.set.Round {
+	if now.Sub(c.lastRound) >= c.set.Round && c.means.Level() < means.Drowning {
 		c.round(now)
 	}
 	if c.dirty {
 		c.place(now)
 	}
-	c.preempt(now)
-	c.keep(now)
+	if c.means.Level() == means.Easy {
+		c.preempt(now)
+		c.keep(now)
+	}
 	c.ahead(now)
 }
 
+// Look takes in that a tick came gap after it was asked for; what waited for longer than
+// that tick counts instead, since a timer that is due goes before all else. What is left out then: starts
+// and plans, in this order; leases, exits and cancellations never.
+func (c *Core) Look(gap time.Duration, now time.Time) {
+	if !c.set.Shed {
+		return
+	}
+	up := 0
+	for _, m := range c.fleet.Sorted() {
+		if m.Up && !m.Lost {
+			up++
+		}
+	}
+	gap, c.late = max(gap, c.set.Report/tickShare+c.late), 0
+	if c.means.Look(gap, up, now) {
+		slog.Info("how the leader keeps up", "level", c.means.Level().String(), "late", c.means.Late().Round(time.Millisecond), "machines", up, "term", c.term)
+	}
+	lateSeconds.Set(c.means.Late().Seconds())
+}
+
+// putOff says whether a start waits until the leader keeps up again.
+func (c *Core) putOff(j *Job) bool {
+	switch c.means.Level() {
+	case means.Drowning:
+		return true
+	case means.Behind:
+		return prioRank[j.Priority] > prioRank[ledger.PrioUrgent] && !j.guaranteed
+	}
+	return false
+}
+
 // round observes use, and runs the paper's change on bins that are hot or gape.
 func (c *Core) round(now time.Time) {
 	c.lastRound = now
--- a/internal/dispatch/witness.go
+++ b/internal/dispatch/witness.go
@@ -60,7 +60,7 @@
 func (l *Leader) firm() time.Duration { return max(l.set.Report, l.set.Lease/4) }
 
 // swears is how often, in a firm span, such a record is stored, along with other writes.
-const swears = 5
+const swears = 3
 
 // takeOath gathers that record when it is due.
 func (l *Leader) takeOath(ws *[]write, fits func(ops, bytes int) bool, now time.Time) bool {
@@ -128,6 +128,11 @@
 // takeMarks gathers the marks that have changed, and says whether all fit.
 func (l *Leader) takeMarks(ws *[]write, fits func(ops, bytes int) bool) bool {
 	c := l.core
+	// Marks are raised ahead of need, so they wait for each other, unless a task waits.
+	if !l.needed && time.Since(l.marksAt) < l.set.Report/4 {
+		return true
+	}
+	l.needed, l.marksAt = false, time.Now()
 	for j := range c.marks.raised {
 		delete(c.marks.raised, j)
 		if !j.over {
@@ -177,7 +182,11 @@
 	if _, failing, _ := l.store.Health(); failing || !l.core.lacksMark(m) {
 		return true
 	}
-	return l.await(m, func() bool { return !l.core.lacksMark(m) })
+	return l.await(m, func() bool {
+		lacks := l.core.lacksMark(m)
+		l.needed = l.needed || lacks
+		return !lacks
+	})
 }
 
 // led notes a revision at which the term held its key.
--- a/internal/frontier/mark.go
+++ b/internal/frontier/mark.go
@@ -9,8 +9,9 @@
 // waits at a takeover for nothing.
 const Ahead = 8
 
-// Step is by how many tasks the mark of a job is raised at least.
-func Step(tasks int) int { return tasks/Ahead + 1 }
+// Step is by how many tasks the mark of a job is raised at least: small jobs are marked
+// whole.
+func Step(tasks int) int { return tasks/Ahead + Ahead }
 
 // Covers says whether a task may be sent.
 func (m *Mark) Covers(task int) bool { return task < m.Stored }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -17,6 +17,7 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/utils"
+	"github.com/mailru/easyjson"
 	"golang.org/x/time/rate"
 )
 
@@ -33,6 +34,7 @@
 	Progress(node, id string) (peer.Progress, error)
 	Relay(r peer.Relay, timeout time.Duration) (peer.Relayed, bool)
 	Checkin(node string, body []byte) (peer.Relayed, error)
+	Checkins(node string, in peer.Bundle, timeout time.Duration) (peer.Bundled, error)
 }
 
 // Local is this process's leader side, when it leads.
@@ -41,6 +43,8 @@
 	// Clear says whether no job before this one was cancelled so long ago.
 	Clear(id string) (age time.Duration, ok bool)
 	Report(r *fleet.Report) (int, fleet.Response)
+	// Late notes by how much something waited before the leader got to it.
+	Late(d time.Duration)
 	// Unreachable says whether a worker that came to a peer cannot reach us.
 	Unreachable(r *fleet.Report) bool
 }
@@ -54,6 +58,8 @@
 	local  func() Local  // nil when this process does not lead
 	reads  *rate.Limiter // what polls may take of the store's request rate
 
+	relays relays
+
 	mu     sync.Mutex
 	types  []ledger.MachineType
 	over   map[string]ledger.Over // final states never change
@@ -69,12 +75,14 @@
 // New returns a server.
 func New(cfg *config.Config, store Store, peers Peers, leader func() string, local func() Local) *Server {
 	share := cfg.Facts.State.Lowest().RPS * pollShare
-	return &Server{
+	s := &Server{
 		cfg: cfg, store: store, peers: peers, leader: leader, local: local,
 		reads: rate.NewLimiter(rate.Limit(share/float64(max(cfg.Facts.Nodes, 1))), max(int(share), 1)),
 		over:  map[string]ledger.Over{}, known: map[string]bool{}, clear: map[string]time.Time{},
 		needs: map[string][]string{}, doomed: map[string]bool{}, told: time.Now(),
 	}
+	s.relays.gather = peer.NewGather(cfg.Report()/windowShare, s.passOn)
+	return s
 }
 
 // pollShare is the share of the store's request rate that polls may take. Guards
@@ -517,13 +525,21 @@
 // Checkin answers a report that a worker sent to this controller.
 func (s *Server) Checkin(body []byte) peer.Relayed {
 	if s.local() != nil {
-		return s.report(body, false)
+		return s.report(body, s.cfg.Node)
 	}
 	node := s.leader()
 	if node == s.cfg.Node {
 		node = ""
 	}
-	if node != "" {
+	if s.relays.takes(s.cfg.Options.Relay, node, time.Now()) {
+		out, err := s.relays.gather.Checkin(node, body)
+		switch {
+		case err == nil:
+			return out
+		case s.relays.takes(true, node, time.Now()):
+			return asJSON(421, referral{})
+		}
+	} else if node != "" {
 		if out, err := s.peers.Checkin(node, body); err == nil && out.Status == 200 {
 			return out
 		}
@@ -534,20 +550,25 @@
 // Forwarded answers a report that a peer passed on. The 200 that the worker gets
 // in the end renews its lease from when it sent the report, so it makes no
 // difference for what the leader may conclude from its silence.
-func (s *Server) Forwarded(in peer.Checkin) peer.Relayed { return s.report(in.Body, true) }
+func (s *Server) Forwarded(in peer.Checkin) peer.Relayed { return s.report(in.Body, "") }
 
-func (s *Server) report(body []byte, forwarded bool) peer.Relayed {
+// report answers a report that came through a controller; "" stands for one that passes
+// reports on only where the worker cannot reach the leader.
+func (s *Server) report(body []byte, via string) peer.Relayed {
 	l := s.local()
 	if l == nil {
 		return asJSON(421, referral{})
 	}
 	var r fleet.Report
-	if err := json.Unmarshal(body, &r); err != nil || r.Host == "" || r.Stint == 0 {
+	if err := easyjson.Unmarshal(body, &r); err != nil || r.Host == "" || r.Stint == 0 {
 		return asJSON(400, failure{"not a report"})
 	}
-	if forwarded && !l.Unreachable(&r) {
+	if via == "" && !l.Unreachable(&r) {
 		return asJSON(421, referral{})
 	}
+	if to := s.relays.route(s.cfg, l, r.Host, via, time.Now()); to != "" {
+		return asJSON(421, referral{Conductor: to})
+	}
 	status, resp := l.Report(&r)
 	if status == 200 {
 		return asJSON(200, resp)
@@ -556,7 +577,13 @@
 }
 
 func asJSON(status int, v any) peer.Relayed {
-	raw, err := json.Marshal(v)
+	var raw []byte
+	var err error
+	if m, ok := v.(easyjson.Marshaler); ok {
+		raw, err = easyjson.Marshal(m)
+	} else {
+		raw, err = json.Marshal(v)
+	}
 	if err != nil {
 		return peer.Relayed{Status: 503}
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -144,6 +144,7 @@
 
 func (l *leading) Progress(string) (string, int, int, bool) { return "", 0, 0, false }
 func (l *leading) Clear(string) (time.Duration, bool)       { return 0, false }
+func (l *leading) Late(time.Duration)                       {}
 func (l *leading) Unreachable(*fleet.Report) bool           { return true }
 func (l *leading) Report(r *fleet.Report) (int, fleet.Response) {
 	l.reports++
@@ -194,6 +195,10 @@
 func (alone) Progress(string, string) (peer.Progress, error) {
 	return peer.Progress{}, errors.New("no answer")
 }
+func (alone) Checkins(string, peer.Bundle, time.Duration) (peer.Bundled, error) {
+	return peer.Bundled{}, errors.New("no peers")
+}
+
 func (alone) Checkin(string, []byte) (peer.Relayed, error) {
 	return peer.Relayed{}, errors.New("no answer")
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -112,6 +112,9 @@
 
 var errStatus = errors.New("peer: unexpected status")
 
+// Unknown says whether a peer answered that it does not know what it was asked.
+func Unknown(err error) bool { return errors.Is(err, errStatus) }
+
 func (p *Peers) call(i int, path string, in, out any, timeout time.Duration) error {
 	raw, err := msgpack.Marshal(in)
 	if err != nil {
@@ -208,6 +211,7 @@
 	Progress func(id string) Progress
 	Relay    func(Relay) Relayed
 	Checkin  func(Checkin) Relayed
+	Checkins func(Bundle) Bundled // nil where reports are not passed on
 }
 
 // Mount serves the handlers on the back address.
@@ -234,6 +238,15 @@
 		}
 		return send(c, h.Checkin(in))
 	})
+	if h.Checkins != nil {
+		app.Post("/peer/checkins", func(c *fiber.Ctx) error {
+			var in Bundle
+			if err := msgpack.Unmarshal(c.Body(), &in); err != nil {
+				return c.SendStatus(400)
+			}
+			return send(c, h.Checkins(in))
+		})
+	}
 	relay := func(answer func(Relay) Relayed) fiber.Handler {
 		return func(c *fiber.Ctx) error {
 			var r Relay
--- /dev/null
+++ b/internal/relay/router_test.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"drumpick/internal/trace"
+
+	"pgregory.net/rapid"
+)
+
+// A story tells a router of leader n-0 (reports every 5 s, leases of 24 s) which reports
+// come through whom ("report m-1 via n-1", or "reports 40 via n-1" for m-0 to m-39) and who
+// else has passed something on ("heard n-1").
+func TestTraces(t *testing.T) {
+	trace.Run(t, "*.trace", func(t *testing.T) func([]string) []string {
+		start := time.Unix(1_000_000, 0)
+		r := New("n-0", 5*time.Second, 24*time.Second)
+		return func(w []string) []string {
+			s, err := strconv.ParseFloat(w[1], 64)
+			if w[0] != "at" || err != nil {
+				t.Fatalf("bad event %v", w)
+			}
+			now := start.Add(time.Duration(s * float64(time.Second)))
+			told := func(to string) string {
+				if to == "" {
+					return "answered"
+				}
+				return "sent to " + to
+			}
+			switch w[2] {
+			case "heard":
+				r.Heard(w[3], now)
+				return nil
+			case "report":
+				return []string{told(r.Route(w[3], w[5], now))}
+			case "reports":
+				n, _ := strconv.Atoi(w[3])
+				got := map[string]int{}
+				for i := range n {
+					got[told(r.Route(fmt.Sprint("m-", i), w[5], now))]++
+				}
+				return counts(got)
+			case "loads":
+				return counts(r.Loads())
+			}
+			t.Fatalf("unknown event %q", w[2])
+			return nil
+		}
+	})
+}
+
+func counts(n map[string]int) []string {
+	var out []string
+	for k, v := range n {
+		out = append(out, fmt.Sprint(v, " ", k))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Whatever comes and goes: a worker is never sent to where it is, to the leader, or to a
+// controller that has not been heard for long; once nothing changes any more, all workers
+// are answered where they are, and no controller holds far more than its share.
+func TestRoutesSettle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const every, lease = 5 * time.Second, 24 * time.Second
+		r, now := New("n-0", every, lease), time.Unix(1_000_000, 0)
+		nodes := rapid.IntRange(1, 4).Draw(t, "others")
+		workers := rapid.IntRange(1, 60).Draw(t, "workers")
+		at := make([]string, workers)
+		for i := range at {
+			at[i] = fmt.Sprint("n-", rapid.IntRange(0, nodes).Draw(t, "at"))
+		}
+		up := make([]bool, nodes+1)
+		heard := make([]time.Time, nodes+1)
+		turn := func(trouble bool) (moves int) {
+			now = now.Add(every)
+			for n := 1; n <= nodes; n++ {
+				if trouble {
+					up[n] = rapid.IntRange(0, 3).Draw(t, "up") > 0
+				}
+				if up[n] {
+					r.Heard(fmt.Sprint("n-", n), now)
+					heard[n] = now
+				}
+			}
+			for i := range at {
+				via, _ := strconv.Atoi(strings.TrimPrefix(at[i], "n-"))
+				if via > 0 && !up[via] {
+					at[i], via = "n-0", 0 // it tries until it finds the leader
+				}
+				to := r.Route(fmt.Sprint("m-", i), at[i], now)
+				if to == "" {
+					continue
+				}
+				n, _ := strconv.Atoi(strings.TrimPrefix(to, "n-"))
+				if to == at[i] || n == 0 || now.Sub(heard[n]) > fresh*every {
+					t.Fatalf("worker %d at %s is sent to %s, heard %v ago", i, at[i], to, now.Sub(heard[n]))
+				}
+				moves++
+				at[i] = to
+			}
+			return moves
+		}
+		for range rapid.IntRange(0, 8).Draw(t, "troubles") {
+			turn(true)
+		}
+		for n := range up {
+			up[n] = true
+		}
+		for range 60 {
+			turn(false)
+		}
+		if n := turn(false); n > 0 {
+			t.Fatalf("%d workers are still sent about", n)
+		}
+		for name, n := range r.Loads() {
+			if share := float64(workers) / float64(nodes); float64(n) > share*uneven+2 {
+				t.Fatalf("%s holds %d of %d workers, of %d", name, n, workers, nodes)
+			}
+		}
+	})
+}
