--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -104,8 +104,9 @@
 		metrics.WritePrometheus(c.Response().BodyWriter(), true)
 		return nil
 	})
-	// Every worker keeps a connection to the leader; users come beside them. The rest
-	// is for calls: to the store and peers, and to workers one after the other.
+	// Every worker keeps a connection, to the leader or to one that passes its reports on;
+	// users come beside them. The rest is for calls: to the store and peers, and to workers
+	// one after the other.
 	app := newApp(res.FDLimit*3/4, config.Seconds(cfg.Facts.Workers.LeaseS))
 	server.Mount(app)
 	if cfg.Options.Operators {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -185,12 +185,3 @@
 		}
 	}
 }
-
-// Loads tells how many workers report through each other controller.
-func (r *Router) Loads() map[string]int {
-	loads := map[string]int{}
-	for name, n := range r.nodes {
-		loads[name] = n.load
-	}
-	return loads
-}
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -46,7 +46,7 @@
 				}
 				return counts(got)
 			case "loads":
-				return counts(r.Loads())
+				return counts(loads(r))
 			}
 			t.Fatalf("unknown event %q", w[2])
 			return nil
@@ -119,10 +119,19 @@
 		if n := turn(false); n > 0 {
 			t.Fatalf("%d workers are still sent about", n)
 		}
-		for name, n := range r.Loads() {
+		for name, n := range loads(r) {
 			if share := float64(workers) / float64(nodes); float64(n) > share*uneven+2 {
 				t.Fatalf("%s holds %d of %d workers, of %d", name, n, workers, nodes)
 			}
 		}
 	})
 }
+
+// loads tells how many workers report through each other controller.
+func loads(r *Router) map[string]int {
+	n := map[string]int{}
+	for name, x := range r.nodes {
+		n[name] = x.load
+	}
+	return n
+}
