What one job finds no room for, an earlier one alike may still have

A log of what waits when an empty machine is given back showed machines kept for the very job that waited first, and whose tasks fitted. Jobs are placed in an order that counts their fetch; machines are kept in the order of turns. A job alike with less to fetch came first, found only machines kept for the other one, and so all alike were taken to find none.

Change: that a job found no room counts only for those alike that are served after it. kept-image.trace fails without it.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -115,7 +115,13 @@
 func (c *Core) place(now time.Time) {
 	c.dirty = false
 	c.reopen(now)
-	failed := make([]bool, len(c.alike)+1) // by the number of jobs alike
+	failed := make([]*Job, len(c.alike)+1) // by the number of jobs alike, the first of them that found no room
+	// What one found no room for, those alike that are served after it find none for
+	// either. Guards against one that comes first only as it has less to fetch, and finds
+	// but machines that are kept for the sake of another: that one may use them.
+	hopeless := func(j *Job, alike int) bool {
+		return alike > 0 && failed[alike] != nil && !before(j, failed[alike])
+	}
 	used := map[string]packing.Vec{}
 	c.queue(now)
 	c.reviewClaims(now)
@@ -124,7 +130,7 @@
 		if t.ready {
 			alike, only = j.twins, j.ready
 		}
-		if alike > 0 && failed[alike] && len(j.claims) == 0 || !c.startable(j, now) || j.peek() < 0 {
+		if hopeless(j, alike) && len(j.claims) == 0 || !c.startable(j, now) || j.peek() < 0 {
 			continue
 		}
 		limited := c.limited(j.Team)
@@ -140,10 +146,10 @@
 		} else {
 			zones := c.bounds(j)
 			c.useClaims(j, used, zones, now)
-			ok = alike > 0 && failed[alike] || c.placeTasks(j, only, used, zones, now)
+			ok = hopeless(j, alike) || c.placeTasks(j, only, used, zones, now)
 		}
 		if !ok && !limited {
-			failed[alike] = true
+			failed[alike] = j
 		}
 	}
 }
