Marks are raised again when refused; bundles for a leader given up end at once

Need: what the last read of marks and relays had found. - A value of marks that the store refuses as too large went back on the shelf as it was when it was taken; its jobs are now raised again, so that what is stored next is what is asked for then. - Bundles that stood behind others to a leader that hangs each waited for it anew after it had been given up; they now end at once and their workers go to the leader themselves. - A report was planned for twice, before its marks were waited for and in the answer; now again only where something was waited for. Machines that take tasks are counted in one place, and the three shelves are written by one loop.

Tests: the traces and stories as they were.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -99,6 +99,7 @@
 		panic("a report is taken for stale")
 	}
 	s.core.Observe(m)
+	s.core.choose(m, s.now)
 	resp := s.core.Respond(m, true, s.now)
 	s.core.Answered(m, s.now)
 	for _, o := range resp.Orders {
--- a/internal/dispatch/claims_test.go
+++ b/internal/dispatch/claims_test.go
@@ -90,6 +90,7 @@
 		y.t.Fatalf("a report in order is called stale")
 	}
 	m.Recorded = true
+	y.c.choose(m, y.now)
 	resp := y.c.Respond(m, true, y.now)
 	y.c.Answered(m, y.now)
 	y.obey(h, resp.Orders)
--- a/internal/dispatch/drainbench_test.go
+++ b/internal/dispatch/drainbench_test.go
@@ -49,6 +49,9 @@
 			rep.Tick++
 			r := *rep
 			m, _ := c.Body(&r, true, now)
+			if round == 0 {
+				c.choose(m, now)
+			}
 			for _, o := range c.Respond(m, round == 0, now).Orders {
 				rep.Tasks = append(rep.Tasks, fleet.TaskReport{Shot: o.Shot, Try: o.Try, Status: "running"})
 			}
--- a/internal/dispatch/flush.go
+++ b/internal/dispatch/flush.go
@@ -108,15 +108,10 @@
 		l.dropMarks()
 		l.flushed = now
 	}
-	for _, b := range l.done.shelf.Changed() {
-		if !fits(1, l.valueBytes()) {
-			return ws
-		}
-		op, _, ids := l.done.shelf.Take(b)
-		ws = append(ws, write{
-			ops: []ledger.Op{op}, apply: l.done.stored(c, ids),
-			refused: func() { l.done.again(c, l.done.shelf.Refused(b)) },
-		})
+	if !l.takeShelf(l.done.shelf, &ws, fits, func(ids []string, _ map[string]json.RawMessage) (func(uint64), func([]string)) {
+		return l.done.stored(c, ids), func(ids []string) { l.done.again(c, ids) }
+	}) {
+		return ws
 	}
 	if !l.takeDrains(&ws, fits, now) || len(ws) > 0 {
 		return ws
@@ -134,30 +129,38 @@
 
 // takeHosts gathers the machine records that have changed, and says whether all fit.
 func (l *Leader) takeHosts(ws *[]write, fits func(ops, bytes int) bool) bool {
-	for _, b := range l.hosts.Changed() {
+	return l.takeShelf(l.hosts, ws, fits, func(ids []string, entries map[string]json.RawMessage) (func(uint64), func([]string)) {
+		stored := func(uint64) {
+			for _, id := range ids {
+				l.hosts.Thaw(id)
+				if m := l.core.fleet.Machines[id]; m != nil {
+					m.Recorded, m.Recording = true, false
+				}
+			}
+		}
+		return stored, func(ids []string) {
+			for _, id := range ids {
+				if l.core.fleet.Machines[id] != nil {
+					l.hosts.Put(id, entries[id], len(entries[id]))
+				}
+			}
+		}
+	})
+}
+
+// takeShelf gathers the values of a shelf that have changed, and says whether all fit.
+// taken is told the records of each, and returns what is to be done once they are stored,
+// and with those that need another place when the value was refused as too large.
+func (l *Leader) takeShelf(s *ledger.Shelf, ws *[]write, fits func(ops, bytes int) bool,
+	taken func(ids []string, entries map[string]json.RawMessage) (stored func(uint64), refused func(ids []string))) bool {
+	for _, b := range s.Changed() {
 		if !fits(1, l.valueBytes()) {
 			return false
 		}
-		op, _, ids := l.hosts.Take(b)
+		op, _, ids := s.Take(b)
 		entries, _ := op.Value.(map[string]json.RawMessage)
-		*ws = append(*ws, write{
-			ops: []ledger.Op{op},
-			apply: func(uint64) {
-				for _, id := range ids {
-					l.hosts.Thaw(id)
-					if m := l.core.fleet.Machines[id]; m != nil {
-						m.Recorded, m.Recording = true, false
-					}
-				}
-			},
-			refused: func() {
-				for _, id := range l.hosts.Refused(b) {
-					if l.core.fleet.Machines[id] != nil {
-						l.hosts.Put(id, entries[id], len(entries[id]))
-					}
-				}
-			},
-		})
+		stored, refused := taken(ids, entries)
+		*ws = append(*ws, write{ops: []ledger.Op{op}, apply: stored, refused: func() { refused(s.Refused(b)) }})
 	}
 	return true
 }
--- a/internal/dispatch/keep.go
+++ b/internal/dispatch/keep.go
@@ -19,11 +19,7 @@
 // machine is empty. Those that will have room soonest are kept.
 func (c *Core) keep(now time.Time) {
 	was := map[*fleet.Machine]bool{}
-	up := 0
 	for _, m := range c.fleet.Sorted() {
-		if m.Bin.Open() {
-			up++
-		}
 		if m.Kept != nil {
 			was[m] = true
 			m.Kept = nil
@@ -40,7 +36,7 @@
 			smallest = min(smallest, c.smallestShare(j))
 		}
 	}
-	left := int(float64(up) * keepShare)
+	left := int(float64(c.takers()) * keepShare)
 	type soon struct {
 		m  *fleet.Machine
 		in float64
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -237,12 +237,19 @@
 	}
 	now = time.Now()
 	can := l.mayStart()
-	if can && !l.marked(m, now) {
-		return 503, fleet.Response{}
-	}
-	now = time.Now()
-	// Asked here, with the lock held from here on: announce relies on it.
+	// Asked with the lock held from there on until the answer is made: announce relies on it.
 	l.core.marks.loose = l.isLoose(now)
+	if can {
+		ok, stands := l.marked(m, now)
+		if !ok {
+			return 503, fleet.Response{}
+		}
+		if !stands {
+			now = time.Now()
+			l.core.marks.loose = l.isLoose(now)
+			l.core.choose(m, now)
+		}
+	}
 	resp := l.core.Respond(m, can, now)
 	// Guards against a grant that ended while orders were computed: what was
 	// marked as sent is given up when the next report lacks it.
--- a/internal/dispatch/marks.go
+++ b/internal/dispatch/marks.go
@@ -160,19 +160,24 @@
 // for them: about what starts until the next look and the answer of the store to it.
 const aheadShare = 1.0 / 2
 
+// takers counts the machines that take tasks.
+func (c *Core) takers() int {
+	n := 0
+	for _, m := range c.fleet.Sorted() {
+		if m.Bin.Open() {
+			n++
+		}
+	}
+	return n
+}
+
 // ahead raises the marks of the jobs that are served next, so that a task that finds room
 // in the answer to a report need not wait for the store.
 func (c *Core) ahead(now time.Time) {
 	if !c.set.Marks {
 		return
 	}
-	up := 0
-	for _, m := range c.fleet.Sorted() {
-		if m.Bin.Open() {
-			up++
-		}
-	}
-	budget := int(float64(up) * aheadShare)
+	budget := int(float64(c.takers()) * aheadShare)
 	for _, j := range c.queue(now) {
 		if budget <= 0 {
 			return
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -446,13 +446,10 @@
 	}
 }
 
-// Respond compiles what a worker is told in answer to its report. Runs go out
-// here and nowhere else: such a response is dropped when it is late, a direct
+// Respond compiles what a worker is told in answer to its report, of what was planned.
+// Runs go out here and nowhere else: such a response is dropped when it is late, a direct
 // command is not.
 func (c *Core) Respond(m *fleet.Machine, canRun bool, now time.Time) fleet.Response {
-	if canRun {
-		c.choose(m, now)
-	}
 	for _, a := range m.Attempts() {
 		if a.State == fleet.Ended && a.Cause == fleet.CauseDone && !a.Reap {
 			j := c.jobOf(a)
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -341,7 +341,11 @@
 	if what == "body" {
 		return s.kicked()
 	}
-	resp := s.core.Respond(m, a["run"] != "no", s.now)
+	run := a["run"] != "no"
+	if run {
+		s.core.choose(m, s.now)
+	}
+	resp := s.core.Respond(m, run, s.now)
 	s.core.Answered(m, s.now)
 	return s.orders(resp.Orders)
 }
--- a/internal/dispatch/witness.go
+++ b/internal/dispatch/witness.go
@@ -140,30 +140,26 @@
 			l.sent.Put(j.ID, v, len(v))
 		}
 	}
-	for _, b := range l.sent.Changed() {
-		if !fits(1, l.valueBytes()) {
-			return false
-		}
-		op, _, ids := l.sent.Take(b)
-		entries, _ := op.Value.(map[string]json.RawMessage)
-		*ws = append(*ws, write{
-			ops: []ledger.Op{op},
-			apply: func(uint64) {
-				for _, id := range ids {
-					l.sent.Thaw(id)
-					if n, err := ledger.ParseMark(entries[id]); err == nil && c.jobs[id] != nil {
-						c.jobs[id].mark.Keep(n)
-					}
+	return l.takeShelf(l.sent, ws, fits, func(ids []string, entries map[string]json.RawMessage) (func(uint64), func([]string)) {
+		stored := func(uint64) {
+			for _, id := range ids {
+				l.sent.Thaw(id)
+				if n, err := ledger.ParseMark(entries[id]); err == nil && c.jobs[id] != nil {
+					c.jobs[id].mark.Keep(n)
 				}
-			},
-			refused: func() {
-				for _, id := range l.sent.Refused(b) {
-					l.sent.Put(id, entries[id], len(entries[id]))
+			}
+		}
+		return stored, func(ids []string) {
+			// Guards against a mark that rose while this value was on its way: what is
+			// stored next is what is asked for then, not what was asked for before.
+			for _, id := range ids {
+				if j := c.jobs[id]; j != nil {
+					c.marks.raised[j] = struct{}{}
 				}
-			},
-		})
-	}
-	return true
+			}
+			l.needed = true
+		}
+	})
 }
 
 // dropMarks takes away the marks of jobs that are over.
@@ -176,17 +172,17 @@
 
 // marked plans what a machine that is being answered is to start, and waits a moment for
 // marks that it lacks, with the lock held before and after. It says whether the machine's
-// report is still the last we know.
-func (l *Leader) marked(m *fleet.Machine, now time.Time) bool {
+// report is still the last we know, and whether the plan stands as nothing was waited for.
+func (l *Leader) marked(m *fleet.Machine, now time.Time) (ok, stands bool) {
 	l.core.choose(m, now)
 	if _, failing, _ := l.store.Health(); failing || !l.core.lacksMark(m) {
-		return true
+		return true, true
 	}
 	return l.await(m, func() bool {
 		lacks := l.core.lacksMark(m)
 		l.needed = l.needed || lacks
 		return !lacks
-	})
+	}), false
 }
 
 // led notes a revision at which the term held its key.
--- a/internal/intake/relay.go
+++ b/internal/intake/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -79,10 +80,19 @@
 	}
 }
 
+// errGivenUp says that a leader took no bundle a moment ago.
+var errGivenUp = errors.New("the leader does not answer, and is left alone for now")
+
 // passOn sends a bundle to the leader. Where that fails the workers try the next
 // controller a second later, and where it fails again and again the leader itself.
 func (s *Server) passOn(node string, bodies [][]byte) (peer.Bundled, error) {
 	began := time.Now()
+	// Guards against bundles that stood behind others to a leader that hangs, and would
+	// each wait for it anew when it has long been given up.
+	if !s.relays.takes(true, node, began) {
+		notPassed.Add(len(bodies))
+		return peer.Bundled{}, errGivenUp
+	}
 	in := peer.Bundle{From: s.cfg.Node, Bodies: bodies, LateMS: s.relays.lateness(0).Milliseconds()}
 	out, err := s.peers.Checkins(node, in, time.Duration(patience*float64(workerPatience)))
 	s.relays.tried(node, err, time.Now().Add(retryReports*s.cfg.Report()))
