A zone that is cut off is waited for, and workers report within their own zone

The guard against that (at most a quarter silent) counted only what had been silent for longer than a machine is given before it is taken for dead: each became one of few.

Ruled out: giving back early only what the list calls failed (hung machines would hold their work for a lease).

Change: package zones tells which zones are dark (nearly all silent while others are heard). Nothing silent is given back before its lease then; what lost its tasks is waited for as long as another takes to come up, longer where no other zone has room; rentals go to dark zones last, and what boots there is not given up. What is silent counts from one and a half report intervals. Workers are sent to controllers of their own zone, up to twice an equal share. Off unless [zones] dark is set; the last two hold in any case.

--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -21,6 +21,7 @@
 	Marks         bool    // the store says how far jobs were sent, for takeovers
 	Relay         bool    // controllers pass workers' reports on to the leader
 	Shed          bool    // a leader that falls behind leaves starts out
+	DarkZones     bool    // machines of a zone that is cut off are waited for
 }
 
 // DefaultOptions are used for whatever the INI file does not set.
@@ -78,6 +79,7 @@
 		{"takeover", "marks", &o.Marks},
 		{"relay", "enabled", &o.Relay},
 		{"overload", "shed", &o.Shed},
+		{"zones", "dark", &o.DarkZones},
 	} {
 		known[e.section+"."+e.key] = true
 		if !f.Section(e.section).HasKey(e.key) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -17,6 +17,7 @@
 	"drumpick/internal/ledger"
 	"drumpick/internal/means"
 	"drumpick/internal/packing"
+	"drumpick/internal/zones"
 )
 
 // Settings shape a Core. All durations derive from the platform's settings.
@@ -32,6 +33,7 @@
 	Forecast                       forecast.Params
 	Marks                          bool // nothing is sent that the store has not marked
 	Shed                           bool // starts are left out when the leader falls behind
+	DarkZones                      bool // machines of a zone that is cut off are waited for
 }
 
 // SettingsOf derives them from the configuration.
@@ -49,7 +51,7 @@
 		ChunkTasks:   ledger.ChunkTasks(c.Facts.State.ValueKB),
 		PartTasks:    ledger.PartTasks(ledger.ChunkTasks(c.Facts.State.ValueKB), c.Facts.State.Lowest().ValueKB),
 		IdleStartups: c.Options.IdleStartups, RefusedStartups: c.Options.SpreadRefused,
-		Zones: c.Facts.Zones, Objectives: c.Facts.Objectives, Marks: c.Options.Marks, Shed: c.Options.Shed,
+		Zones: c.Facts.Zones, Objectives: c.Facts.Objectives, Marks: c.Options.Marks, Shed: c.Options.Shed, DarkZones: c.Options.DarkZones,
 		Teams: map[string]config.Team{},
 		Forecast: forecast.Params{
 			Up: c.Options.AlphaUp, Down: c.Options.AlphaDown,
@@ -189,7 +191,7 @@
 	lastRound  time.Time
 	dirty      bool             // something changed since the last placing
 	mostSilent bool             // more machines are silent than heard
-	someSilent bool             // at most a quarter of the machines are silent
+	manySilent time.Time        // when last more than a few machines were silent, or a zone was dark
 	fewUnheard bool             // of the machines on record at the takeover, few have not been heard
 	unsent     []*fleet.Attempt // planned, in the order of their turns, and maybe no longer so
 	closed     []string         // jobs whose finished tasks need no record any more
@@ -197,6 +199,7 @@
 	marks      marks
 	means      *means.Governor // how far the leader falls behind
 	late       time.Duration   // by how much anything waited since the last look
+	cuts       *zones.Watch    // which zones are cut off
 	owners     []*Job          // jobs that have claims
 	drains     []*drainWork    // what operators asked for, by id
 	lastDrain  time.Time       // when it was last looked at
@@ -211,8 +214,8 @@
 	return &Core{
 		set: set, term: term, jobs: map[string]*Job{}, chain: chain.New(), alike: map[likeness]int{}, types: map[string]ledger.MachineType{},
 		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{}, marks: newMarks(),
-		means: means.New(set.Report, set.Report/tickShare),
-		rent:  newRentState(), spaces: map[string]*packing.Space{},
+		means: means.New(set.Report, set.Report/tickShare), cuts: zones.New(set.Lease),
+		rent: newRentState(), spaces: map[string]*packing.Space{},
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/dark.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"log/slog"
+	"time"
+
+	"drumpick/internal/fleet"
+	"drumpick/internal/zones"
+)
+
+// watchZones looks at which zones are cut off.
+func (c *Core) watchZones(now time.Time) {
+	if !c.set.DarkZones {
+		return
+	}
+	counts := map[string]zones.Count{}
+	for _, m := range c.fleet.Sorted() {
+		if !m.Up && !m.Inherited || m.Dead || m.Returning {
+			continue
+		}
+		n := counts[m.Zone]
+		n.Machines++
+		heard := m.LastBody
+		if heard.Before(m.SilentSince) {
+			heard = m.SilentSince
+		}
+		if float64(now.Sub(heard)) > zones.Silence*float64(c.set.Report) {
+			n.Silent++
+		}
+		counts[m.Zone] = n
+	}
+	dark, light := c.cuts.Look(counts, now)
+	for _, z := range dark {
+		slog.Warn("zone is dark: its machines are silent and those of others are not", "zone", z, "machines", counts[z].Machines, "silent", counts[z].Silent, "term", c.term)
+	}
+	for _, z := range light {
+		slog.Info("zone is no longer taken for dark", "zone", z, "machines", counts[z].Machines, "silent", counts[z].Silent, "term", c.term)
+	}
+}
+
+// elsewhere says whether there is room, as far as known, for a machine in the place of
+// another one where it would be heard. What was refused of late is: as long as work waits
+// it is asked for again and again.
+func (c *Core) elsewhere(m *fleet.Machine, now time.Time) bool {
+	t := c.types[m.Type]
+	late := now.Add(-2 * c.startup(m.Type))
+	for _, z := range t.Zones {
+		if c.cuts.Dark(z) {
+			continue
+		}
+		if late.After(c.rent.refused[offer{m.Type, z, false}]) || t.SpotPrice > 0 && late.After(c.rent.refused[offer{m.Type, z, true}]) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -12,6 +12,7 @@
 	"drumpick/internal/means"
 	"drumpick/internal/packing"
 	"drumpick/internal/rental"
+	"drumpick/internal/zones"
 )
 
 type offer struct {
@@ -286,10 +287,10 @@
 const mostAlone = 100
 
 // offerFor picks what to rent for a task: cheap machines where the job permits,
-// by price for its share, in the zone that has the fewest.
+// by price for its share, in the zone that has the fewest, a dark one last.
 func (c *Core) offerFor(p *plan, j *Job, now time.Time) (offer, bool) {
 	var best offer
-	bestCost, bestCount, found := 0.0, 0, false
+	bestCost, bestCount, bestDark, found := 0.0, 0, false, false
 	for _, name := range c.names {
 		t := c.types[name]
 		if !c.capacity(name).Fits(j.req) {
@@ -308,8 +309,10 @@
 				if !j.permits(name, z, spot) || now.Before(c.rent.refused[o]) || c.barred(name, z) || j.staying != nil && !j.zoneOK(z, j.staying) {
 					continue
 				}
-				if !found || cost < bestCost || cost == bestCost && p.inZone[z] < bestCount {
-					best, bestCost, bestCount, found = o, cost, p.inZone[z], true
+				// What is rented in a dark zone is of use only when that is back.
+				dark := c.cuts.Dark(z)
+				if !found || bestDark && !dark || bestDark == dark && (cost < bestCost || cost == bestCost && p.inZone[z] < bestCount) {
+					best, bestCost, bestCount, bestDark, found = o, cost, p.inZone[z], dark, true
 				}
 			}
 		}
@@ -353,17 +356,25 @@
 // Returns tells which machines to give back now, and sends them nothing more.
 func (c *Core) Returns(now time.Time) []string {
 	var hosts []string
-	up, silent := 0, 0
+	up, silent, quiet := 0, 0, 0
 	for _, m := range c.fleet.Sorted() {
 		if m.Up {
 			up++
 			if now.Sub(m.LastBody) > 3*c.set.Report {
 				silent++
 			}
+			if float64(now.Sub(m.LastBody)) > zones.Silence*float64(c.set.Report) {
+				quiet++
+			}
 		}
 	}
+	c.watchZones(now)
 	c.mostSilent = silent > 2 && 2*silent > up
-	c.someSilent = float64(silent) <= someShare*float64(up)
+	// Guards against many that fell silent at once and are given back a few at a time, each
+	// being one of few that have been silent for long, or one of the last to come back.
+	if float64(quiet) > someShare*float64(up) || c.cuts.Any() {
+		c.manySilent = now
+	}
 	inherited, unheard := c.fleet.Inherited()
 	c.fewUnheard = float64(unheard) <= fewShare*float64(inherited)
 	for _, m := range c.fleet.Sorted() {
@@ -398,11 +409,12 @@
 // taken; any other has most likely died, unless many are silent, behind a cut or
 // because we stood still.
 func (c *Core) deaf(m *fleet.Machine, now time.Time) time.Duration {
-	switch {
-	case !m.Notice.IsZero() && now.After(m.Notice):
+	if !m.Notice.IsZero() && now.After(m.Notice) {
 		return c.set.Report * 3 / 2
-	case c.someSilent:
-		return max(c.set.Lease/2, 2*c.set.Report)
+	}
+	d := max(c.set.Lease/2, 2*c.set.Report)
+	if now.Sub(c.manySilent) > d {
+		return d
 	}
 	return math.MaxInt64
 }
@@ -412,6 +424,10 @@
 	switch {
 	case c.awaits(m, now):
 		return false
+	case m.Lost && !m.Dead && c.cuts.Waits(m.Zone, now.Sub(m.LastBody), startup, c.elsewhere(m, now), now):
+		return false
+	case !m.Up && c.cuts.Dark(m.Zone):
+		return false // it may well be up
 	case m.Lost:
 		// Its tasks are gone. Where most machines are silent, the trouble is more
 		// likely ours than theirs, and they may yet be heard of.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -566,7 +566,7 @@
 	if via == "" && !l.Unreachable(&r) {
 		return asJSON(421, referral{})
 	}
-	if to := s.relays.route(s.cfg, l, r.Host, via, time.Now()); to != "" {
+	if to := s.relays.route(s.cfg, l, r.Host, r.Zone, via, time.Now()); to != "" {
 		return asJSON(421, referral{Conductor: to})
 	}
 	status, resp := l.Report(&r)
--- a/internal/intake/relay.go
+++ b/internal/intake/relay.go
@@ -93,7 +93,7 @@
 		notPassed.Add(len(bodies))
 		return peer.Bundled{}, errGivenUp
 	}
-	in := peer.Bundle{From: s.cfg.Node, Bodies: bodies, LateMS: s.relays.lateness(0).Milliseconds()}
+	in := peer.Bundle{From: s.cfg.Node, Zone: s.cfg.Zone, Bodies: bodies, LateMS: s.relays.lateness(0).Milliseconds()}
 	out, err := s.peers.Checkins(node, in, time.Duration(patience*float64(workerPatience)))
 	s.relays.tried(node, err, time.Now().Add(retryReports*s.cfg.Report()))
 	s.relays.lateness(time.Since(began) - time.Duration(out.HeldMS)*time.Millisecond)
@@ -129,7 +129,7 @@
 	}
 	began := time.Now()
 	if l := s.local(); l != nil {
-		s.relays.heard(s.cfg, l, in.From, began)
+		s.relays.heard(s.cfg, l, in.From, in.Zone, began)
 		l.Late(time.Duration(in.LateMS) * time.Millisecond)
 	}
 	var wg sync.WaitGroup
@@ -154,20 +154,20 @@
 	return r.router
 }
 
-func (r *relays) heard(cfg *config.Config, l Local, node string, now time.Time) {
+func (r *relays) heard(cfg *config.Config, l Local, node, zone string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ofTerm(cfg, l).Heard(node, now)
+	r.ofTerm(cfg, l).Heard(node, zone, now)
 }
 
 // route tells where a worker is to report instead; "" if it is answered here.
-func (r *relays) route(cfg *config.Config, l Local, host, via string, now time.Time) string {
+func (r *relays) route(cfg *config.Config, l Local, host, zone, via string, now time.Time) string {
 	if !cfg.Options.Relay || via == "" {
 		return ""
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	to := r.ofTerm(cfg, l).Route(host, via, now)
+	to := r.ofTerm(cfg, l).Route(host, zone, via, now)
 	if to != "" {
 		sentAway.Inc()
 	}
--- a/internal/peer/gather.go
+++ b/internal/peer/gather.go
@@ -13,7 +13,8 @@
 	Bodies [][]byte `msgpack:"bodies"`
 	// LateMS is how long the sender's last bundle waited before the leader got to it, and
 	// its answer on the way back.
-	LateMS int64 `msgpack:"late_ms,omitempty"`
+	LateMS int64  `msgpack:"late_ms,omitempty"`
+	Zone   string `msgpack:"zone,omitempty"` // the sender's
 }
 
 // Bundled are the answers, in the same order.
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -27,6 +27,7 @@
 
 // node is another controller.
 type node struct {
+	zone  string    // "" where it does not say
 	heard time.Time // when it last passed anything on
 	load  int       // workers that report through it
 	lost  int       // workers that came back from it since the last sweep
@@ -34,6 +35,7 @@
 
 // route is how one worker reports.
 type route struct {
+	zone   string
 	via    string // or where it was told to go
 	at     time.Time
 	barred string    // a controller that it does not reach, or that does not reach us
@@ -60,34 +62,41 @@
 	// its workers are sent to others, and movedShare how many in a report interval at most.
 	uneven     = 1.25
 	movedShare = 1.0 / 16
+	// mostOwn is how many times its share of all workers a controller may hold because
+	// they are in its zone.
+	mostOwn = 2
 )
 
-// Heard notes that another controller has passed something on, if only that it is there.
-func (r *Router) Heard(name string, now time.Time) {
+// Heard notes that another controller, in a zone, has passed something on, if only that it
+// is there.
+func (r *Router) Heard(name, zone string, now time.Time) {
 	n := r.nodes[name]
 	if n == nil {
 		n = &node{}
 		r.nodes[name] = n
 	}
-	n.heard = now
+	n.zone, n.heard = zone, now
 }
 
-// Route takes in that a worker's report came through a controller, the leader's own
-// included, and tells where the worker is to report instead; "" if it may stay.
-func (r *Router) Route(host, via string, now time.Time) string {
+// Route takes in that the report of a worker in a zone came through a controller, the
+// leader's own included, and tells where the worker is to report instead; "" if it may stay.
+func (r *Router) Route(host, zone, via string, now time.Time) string {
 	r.sweep(now)
 	h := r.hosts[host]
 	if h == nil {
 		h = &route{}
 		r.hosts[host] = h
 	}
+	h.zone = zone
 	was := h.via
 	r.move(h, via)
 	came := now.Sub(h.at) < r.lease
 	h.at = now
 	to := ""
 	if via != r.self {
-		r.Heard(via, now)
+		if n := r.nodes[via]; n != nil {
+			n.heard = now
+		}
 		to = r.even(h, now)
 	} else {
 		// Guards against workers sent to and fro: one that was told to go elsewhere, or
@@ -121,14 +130,28 @@
 	h.via = via
 }
 
-// open lists the controllers that a worker may be sent to, by name.
+// open lists the controllers that a worker may be sent to, by name: those in its own zone,
+// if they are and hold no more than mostOwn times their share of all workers. Guards
+// against a zone that is cut off and, with the controllers in it, silences workers of
+// others, all at once, until these have found their way.
 func (r *Router) open(h *route, now time.Time) []string {
-	var names []string
+	var names, own []string
+	load := 0
 	for name, n := range r.nodes {
 		if now.Sub(n.heard) <= fresh*r.every && n.lost <= fewLost && !(name == h.barred && now.Before(h.until)) {
 			names = append(names, name)
+			if n.zone == h.zone && n.zone != "" {
+				own = append(own, name)
+				load += n.load
+			}
 		}
 	}
+	if n := r.nodes[h.via]; n == nil || n.zone != h.zone {
+		load++ // with this one; one that is there stays
+	}
+	if len(own) > 0 && load*len(names) <= mostOwn*len(own)*len(r.hosts) {
+		names = own
+	}
 	slices.Sort(names)
 	return names
 }
@@ -151,6 +174,14 @@
 // the fewest, a few at a time: after one has been away, the others hold all.
 func (r *Router) even(h *route, now time.Time) string {
 	names := r.open(h, now)
+	if float64(r.moved) >= movedShare*float64(len(r.hosts)) {
+		return ""
+	}
+	// One that its zone's own controllers can take comes home to them.
+	if n := len(names); n > 0 && h.zone != "" && r.nodes[names[0]].zone == h.zone && r.nodes[names[n-1]].zone == h.zone && r.nodes[h.via].zone != h.zone {
+		r.moved++
+		return r.least(h, now)
+	}
 	if len(names) < 2 {
 		return ""
 	}
@@ -161,8 +192,7 @@
 	share := float64(sum) / float64(len(names))
 	to := r.least(h, now)
 	// Guards against a few workers that are sent round and round: a move has to help.
-	if float64(r.nodes[h.via].load) <= share*uneven || r.nodes[h.via].load < r.nodes[to].load+2 ||
-		float64(r.moved) >= movedShare*float64(len(r.hosts)) {
+	if float64(r.nodes[h.via].load) <= share*uneven || r.nodes[h.via].load < r.nodes[to].load+2 {
 		return ""
 	}
 	r.moved++
--- /dev/null
+++ b/internal/standin/dark_test.go
@@ -0,0 +1,74 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"drumpick/internal/fleet"
+	"drumpick/internal/ledger"
+)
+
+// What becomes of a zone's machines while it is cut off.
+
+// zoneCut plays a cut of a zone that holds half the machines, and tells how many of its
+// machines are still the same some seconds later, of how many, and how many tasks were
+// lost.
+func zoneCut(t *testing.T, seconds float64, dark bool) (same, of, lost int) {
+	playWith(t, func(c *cluster) {
+		c.cfg.Options.DarkZones = dark
+		c.world.Capacity = 6
+	}, func(c *cluster) {
+		c.world.RunFor = func(task string) time.Duration { return 10 * mixed(task) }
+		sleep(2)
+		c.submit(0, ledger.Job{ID: "j-1", Tasks: 96, EstimateS: 90})
+		sleep(40)
+		before := map[string]bool{}
+		for _, m := range c.world.Machines() {
+			if m.Zone == "b" {
+				before[m.Host] = true
+			}
+		}
+		c.world.Cut("b", true)
+		sleep(seconds)
+		c.world.Cut("b", false)
+		sleep(8)
+		for _, m := range c.world.Machines() {
+			if before[m.Host] {
+				same++
+			}
+		}
+		of = len(before)
+		sleep(300)
+		c.wantDone(0, "j-1")
+		ran, _ := c.world.History()
+		for _, r := range ran {
+			if r.Cause == "lost" || r.Cause == fleet.CauseAlone {
+				lost++
+			}
+		}
+	})
+	return same, of, lost
+}
+
+// A zone that is cut off for less than a lease loses nothing: its machines are not given
+// back one by one as each becomes one of few that have been silent for long. Beyond a lease
+// its tasks start elsewhere, and its machines are there when it is back.
+func TestZoneCutOff(t *testing.T) {
+	t.Parallel()
+	for _, x := range []struct {
+		seconds float64
+		dark    bool
+		keeps   bool
+	}{{7, true, true}, {20, true, true}, {20, false, false}} {
+		same, of, lost := zoneCut(t, x.seconds, x.dark)
+		told := fmt.Sprintf("cut for %v s, dark zones %v: %d machines of %d are left, %d tasks lost", x.seconds, x.dark, same, of, lost)
+		// One or two may be given back as idle: some work was done elsewhere meanwhile.
+		if of < 12 || x.keeps != (same >= of-2) {
+			t.Error(told)
+		}
+		if x.seconds < 12 && lost > 0 {
+			t.Error(told)
+		}
+	}
+}
