--- a/internal/dispatch/keep.go
+++ b/internal/dispatch/keep.go
@@ -10,8 +10,9 @@
 	"drumpick/internal/packing"
 )
 
-// keepShare bounds how many of the machines may be emptying for larger tasks.
-const keepShare = 1.0 / 4
+// keepShare bounds how many of the machines may be emptying for larger tasks, one at least:
+// each stands half empty for as long as its last small task runs.
+const keepShare = 1.0 / 8
 
 // keep sets machines aside for tasks that are larger than others which wait: from
 // these a kept machine takes only what has its turn before. Guards against large
@@ -36,7 +37,7 @@
 			smallest = min(smallest, c.smallestShare(j))
 		}
 	}
-	left := int(float64(c.takers()) * keepShare)
+	left := max(int(float64(c.takers())*keepShare), 1)
 	type soon struct {
 		m  *fleet.Machine
 		in float64
