Clients of the store, the cloud and the workers stand apart from what they carry

Need: what decides is to import no client. The records, requests and reports are used by all; the calls by few.

Change, of no behaviour: packages store, cloud and workers have the clients; ledger, rental and fleet keep records, errors, requests and messages. Sleep is link's own.

--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -14,16 +14,18 @@
 	"sync/atomic"
 	"time"
 
+	"drumpick/internal/cloud"
 	"drumpick/internal/config"
 	"drumpick/internal/dispatch"
-	"drumpick/internal/fleet"
 	"drumpick/internal/frontier"
 	"drumpick/internal/intake"
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 	"drumpick/internal/operator"
 	"drumpick/internal/peer"
-	"drumpick/internal/rental"
+	"drumpick/internal/store"
 	"drumpick/internal/tenure"
+	"drumpick/internal/workers"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gofiber/fiber/v2"
@@ -40,12 +42,12 @@
 	ctx := context.Background()
 	report := cfg.Report()
 	st := cfg.Facts.State.Lowest()
-	store := ledger.NewClient(cfg.External.State, ledger.Limits{
+	store := store.NewClient(cfg.External.State, store.Limits{
 		WriteRPS: st.WriteRPS, Conns: max(res.FDLimit/20, 8), Timeout: min(report/2, time.Second),
 	})
 	peers := peer.NewPeers(cfg.Seeds, min(report/4, time.Second/2))
-	cloud := rental.NewClient(cfg.External.Cloud, cfg.Facts.Cloud.RPS, 2*report)
-	workers := fleet.NewCaller(max(res.FDLimit/40, 4), report)
+	cloud := cloud.NewClient(cfg.External.Cloud, cfg.Facts.Cloud.RPS, 2*report)
+	workers := workers.NewCaller(max(res.FDLimit/40, 4), report)
 	ten := tenure.New(store, cfg.Node, strconv.FormatUint(rand.Uint64(), 36),
 		time.Duration(float64(report)*cfg.Options.GrantReports), cfg.Options.Marks)
 	var witness frontier.Witness
@@ -146,7 +148,7 @@
 
 // learnTypes finds out which machine types there are: from the store, or from
 // the cloud itself where no leader has stored them yet.
-func learnTypes(ctx context.Context, server *intake.Server, store *ledger.Client, cloud *rental.Client, report time.Duration) {
+func learnTypes(ctx context.Context, server *intake.Server, store *store.Client, cloud *cloud.Client, report time.Duration) {
 	pause := report / 8
 	for {
 		if row, err := store.Get(ctx, ledger.KeyTypes); err == nil && row != nil {
@@ -167,7 +169,7 @@
 			wait = pause
 			pause = min(2*pause, report)
 		}
-		if ledger.Sleep(ctx, wait/2+rand.N(wait)) != nil {
+		if link.Sleep(ctx, wait/2+rand.N(wait)) != nil {
 			return
 		}
 	}
--- a/cmd/drumpickctl/demo.go
+++ b/cmd/drumpickctl/demo.go
@@ -14,7 +14,7 @@
 
 	"drumpick/client"
 	"drumpick/internal/jobfile"
-	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 	"drumpick/internal/region"
 
 	"github.com/spf13/cobra"
@@ -68,7 +68,7 @@
 		}
 		// What a cancelled service left running is gone within the region's bound.
 		for r.World.Running() > 0 {
-			if err := ledger.Sleep(cmd.Context(), 100*time.Millisecond); err != nil {
+			if err := link.Sleep(cmd.Context(), 100*time.Millisecond); err != nil {
 				return err
 			}
 		}
--- a/internal/rental/cloud.go
+++ b/internal/cloud/client.go
@@ -1,57 +1,20 @@
-// Package rental talks to the cloud, which rents machines by the second.
-package rental
+// Package cloud talks to the cloud, which rents machines by the second.
+package cloud
 
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/url"
 	"time"
 
 	"drumpick/internal/ledger"
 	"drumpick/internal/link"
+	"drumpick/internal/rental"
 
 	"golang.org/x/time/rate"
 )
 
-// Errors of the cloud, by what follows from them.
-var (
-	ErrNoCapacity = errors.New("cloud: no capacity")
-	ErrTrouble    = errors.New("cloud: refused for now") // 429, or 503 in an outage: not executed
-	ErrNoAnswer   = errors.New("cloud did not answer")   // may have been, or may yet be, executed
-	ErrUnexpected = errors.New("cloud: unexpected answer")
-)
-
-// MinCharge is what a machine costs at least (PROTOCOL, price).
-const MinCharge = 60 * time.Second
-
-// MostCount and MostNames are the protocol's bounds of one request.
-const (
-	MostCount = 50
-	MostNames = 100
-)
-
-// Request asks for machines. Its booking name is never used again.
-type Request struct {
-	Booking string `json:"booking"`
-	Type    string `json:"rig"`
-	Zone    string `json:"site"`
-	Spot    bool   `json:"loaners"`
-	Count   int    `json:"count"`
-}
-
-// Listed is a machine in the cloud's list.
-type Listed struct {
-	Host   string  `json:"uid"`
-	Addr   string  `json:"addr"`
-	Type   string  `json:"rig"`
-	Zone   string  `json:"site"`
-	Spot   bool    `json:"loaners"`
-	Status string  `json:"status"`
-	AgeS   float64 `json:"age_s"`
-}
-
 // Client calls the cloud within its rate.
 type Client struct {
 	link    *link.Client
@@ -85,7 +48,7 @@
 	}
 	status, raw, err := c.link.JSON(method, uri, body, time.Now().Add(c.timeout))
 	if err != nil {
-		return fmt.Errorf("%w: %s %s: %v", ErrNoAnswer, method, uri, err)
+		return fmt.Errorf("%w: %s %s: %v", rental.ErrNoAnswer, method, uri, err)
 	}
 	switch status {
 	case 200:
@@ -93,22 +56,22 @@
 			return nil
 		}
 		if err := json.Unmarshal(raw, out); err != nil {
-			return fmt.Errorf("%w: %v", ErrUnexpected, err)
+			return fmt.Errorf("%w: %v", rental.ErrUnexpected, err)
 		}
 		return nil
 	case 429:
-		return ErrTrouble
+		return rental.ErrTrouble
 	case 503:
 		var e struct {
 			Error string `json:"error"`
 		}
 		_ = json.Unmarshal(raw, &e)
 		if e.Error == "no capacity" {
-			return ErrNoCapacity
+			return rental.ErrNoCapacity
 		}
-		return ErrTrouble
+		return rental.ErrTrouble
 	}
-	return fmt.Errorf("%w: %d for %s", ErrUnexpected, status, uri)
+	return fmt.Errorf("%w: %d for %s", rental.ErrUnexpected, status, uri)
 }
 
 // Types reads what the cloud offers, at current prices.
@@ -119,17 +82,17 @@
 	}
 	for _, x := range t.Types {
 		if x.Name == "" || x.CPUs < 0 || x.MemGB < 0 || x.GPUs < 0 || x.StartupS < 0 || len(x.Zones) == 0 {
-			return nil, fmt.Errorf("%w: machine type %q makes no sense", ErrUnexpected, x.Name)
+			return nil, fmt.Errorf("%w: machine type %q makes no sense", rental.ErrUnexpected, x.Name)
 		}
 	}
 	if len(t.Types) == 0 {
-		return nil, fmt.Errorf("%w: no machine types", ErrUnexpected)
+		return nil, fmt.Errorf("%w: no machine types", rental.ErrUnexpected)
 	}
 	return t.Types, nil
 }
 
 // Rent asks for machines and returns those rented, up to the count.
-func (c *Client) Rent(ctx context.Context, r Request) ([]string, error) {
+func (c *Client) Rent(ctx context.Context, r rental.Request) ([]string, error) {
 	var out struct {
 		Hosts []string `json:"hosts"`
 	}
@@ -146,13 +109,13 @@
 }
 
 // List reads the whole list of machines.
-func (c *Client) List(ctx context.Context) ([]Listed, error) {
-	var all []Listed
+func (c *Client) List(ctx context.Context) ([]rental.Listed, error) {
+	var all []rental.Listed
 	since := ""
 	for {
 		var page struct {
-			Hosts []Listed `json:"hosts"`
-			More  bool     `json:"more"`
+			Hosts []rental.Listed `json:"hosts"`
+			More  bool            `json:"more"`
 		}
 		uri := "/machines?limit=500"
 		if since != "" {
--- a/internal/rental/cloud_test.go
+++ b/internal/cloud/client_test.go
@@ -1,4 +1,4 @@
-package rental
+package cloud
 
 import (
 	"context"
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"drumpick/internal/rental"
 )
 
 // What each answer of the cloud lets a caller conclude. A bad answer is never
@@ -28,14 +30,14 @@
 		body   string
 		want   error
 	}{
-		{503, `{"error":"no capacity"}`, ErrNoCapacity},
-		{503, `{"error":"trouble"}`, ErrTrouble},
-		{429, `{}`, ErrTrouble},
-		{400, `{}`, ErrUnexpected},
-		{200, `{"hosts":`, ErrUnexpected},
+		{503, `{"error":"no capacity"}`, rental.ErrNoCapacity},
+		{503, `{"error":"trouble"}`, rental.ErrTrouble},
+		{429, `{}`, rental.ErrTrouble},
+		{400, `{}`, rental.ErrUnexpected},
+		{200, `{"hosts":`, rental.ErrUnexpected},
 	} {
 		status, body = x.status, x.body
-		if hosts, err := c.Rent(ctx, Request{Booking: "r-1"}); !errors.Is(err, x.want) || hosts != nil {
+		if hosts, err := c.Rent(ctx, rental.Request{Booking: "r-1"}); !errors.Is(err, x.want) || hosts != nil {
 			t.Errorf("%d %s: %v, %v, want %v", x.status, x.body, hosts, err, x.want)
 		}
 	}
@@ -46,7 +48,7 @@
 		}
 	}
 	status, body = 200, `{"hosts":["m-1"]}`
-	if hosts, err := c.Rent(ctx, Request{Booking: "r-2"}); err != nil || len(hosts) != 1 {
+	if hosts, err := c.Rent(ctx, rental.Request{Booking: "r-2"}); err != nil || len(hosts) != 1 {
 		t.Errorf("rent: %v, %v", hosts, err)
 	}
 }
--- a/internal/dispatch/chains.go
+++ b/internal/dispatch/chains.go
@@ -12,6 +12,7 @@
 	"drumpick/internal/config"
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 
 	"golang.org/x/time/rate"
 )
@@ -132,7 +133,7 @@
 	reads := rate.NewLimiter(rate.Limit(share), int(share))
 	pause := l.set.Report / 8
 	missing := map[string]time.Time{} // not over when last read: to be read again later
-	for ledger.Sleep(ctx, pause/2+rand.N(pause)) == nil {
+	for link.Sleep(ctx, pause/2+rand.N(pause)) == nil {
 		l.mu.Lock()
 		ids := l.core.chain.Unread()
 		l.mu.Unlock()
--- a/internal/dispatch/flush.go
+++ b/internal/dispatch/flush.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 )
 
 // write is one change for the store, with what it means once it is in.
@@ -266,7 +267,7 @@
 		default:
 			slog.Debug("store: commit failed", "err", err)
 		}
-		if ledger.Sleep(ctx, pause/2+rand.N(pause)) != nil {
+		if link.Sleep(ctx, pause/2+rand.N(pause)) != nil {
 			return false
 		}
 		pause = min(2*pause, l.set.Report)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -13,6 +13,7 @@
 	"drumpick/internal/fleet"
 	"drumpick/internal/frontier"
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 	"drumpick/internal/peer"
 	"drumpick/internal/rental"
 	"drumpick/internal/tenure"
@@ -111,7 +112,7 @@
 			break
 		}
 		slog.Warn("takeover: cannot read the store", "term", l.term, "err", err)
-		if ledger.Sleep(ctx, l.set.Report/8+rand.N(l.set.Report/8)) != nil {
+		if link.Sleep(ctx, l.set.Report/8+rand.N(l.set.Report/8)) != nil {
 			return
 		}
 	}
@@ -165,7 +166,7 @@
 			events = nil
 		}
 		if err != nil {
-			if ledger.Sleep(ctx, l.set.Report/8+rand.N(l.set.Report/8)) != nil {
+			if link.Sleep(ctx, l.set.Report/8+rand.N(l.set.Report/8)) != nil {
 				return
 			}
 			continue
@@ -321,7 +322,7 @@
 // tick does what time brings, and sends kills out at once.
 func (l *Leader) tick(ctx context.Context) {
 	every := l.set.Report / tickShare
-	for began := time.Now(); ledger.Sleep(ctx, every) == nil; began = time.Now() {
+	for began := time.Now(); link.Sleep(ctx, every) == nil; began = time.Now() {
 		now := time.Now()
 		can := l.mayStart()
 		l.mu.Lock()
--- a/internal/dispatch/outage.go
+++ b/internal/dispatch/outage.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"drumpick/internal/config"
-	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 )
 
 // mayStart says whether tasks may be started at this moment: the grant is surely
@@ -59,7 +59,7 @@
 	odd := time.Time{} // since when others are served and we are not
 	// Words are told one after the other, from here alone. Guards against an earlier word
 	// that reaches a controller which started only after it had been asked to hear a later.
-	for l.announce(ctx); ledger.Sleep(ctx, l.set.Report/4) == nil; {
+	for l.announce(ctx); link.Sleep(ctx, l.set.Report/4) == nil; {
 		lastOK, failing, _ := l.store.Health()
 		if !failing || time.Since(lastOK) < l.set.Report/2 {
 			l.announce(ctx)
--- a/internal/dispatch/renting.go
+++ b/internal/dispatch/renting.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 	"drumpick/internal/rental"
 )
 
@@ -23,7 +24,7 @@
 		types, err := l.cloud.Types(ctx)
 		if err != nil {
 			slog.Debug("cloud: no machine types", "err", err)
-			if ledger.Sleep(ctx, pause/2+rand.N(pause)) != nil {
+			if link.Sleep(ctx, pause/2+rand.N(pause)) != nil {
 				return
 			}
 			continue
@@ -47,7 +48,7 @@
 				stored = string(raw)
 			}
 		}
-		if ledger.Sleep(ctx, 15*pause) != nil {
+		if link.Sleep(ctx, 15*pause) != nil {
 			return
 		}
 	}
@@ -70,7 +71,7 @@
 			slog.Debug("cloud: no list", "err", err)
 		}
 		every = max(every, l.set.Report/4)
-		if ledger.Sleep(ctx, every*3/4+rand.N(every/2)) != nil {
+		if link.Sleep(ctx, every*3/4+rand.N(every/2)) != nil {
 			return
 		}
 	}
@@ -80,7 +81,7 @@
 func (l *Leader) rents(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for ledger.Sleep(ctx, l.set.Report/4) == nil {
+	for link.Sleep(ctx, l.set.Report/4) == nil {
 		if !l.granted() {
 			continue
 		}
@@ -117,7 +118,7 @@
 			return
 		}
 		slog.Debug("rental not answered", "booking", r.Booking, "err", err)
-		if ledger.Sleep(ctx, pause/2+rand.N(pause)) != nil {
+		if link.Sleep(ctx, pause/2+rand.N(pause)) != nil {
 			continue
 		}
 		pause = min(2*pause, 4*l.set.Report)
@@ -126,7 +127,7 @@
 
 // returns gives machines back.
 func (l *Leader) returns(ctx context.Context) {
-	for ledger.Sleep(ctx, l.set.Report/2) == nil {
+	for link.Sleep(ctx, l.set.Report/2) == nil {
 		// Guards against hundreds of machines, of a zone that went silent, that are given
 		// back one call in each interval while all older work waits for the last of them.
 		for full := true; full && l.granted(); {
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -11,6 +11,7 @@
 
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 )
 
 // load reads what earlier terms left: open jobs, finished tasks, machines.
@@ -160,7 +161,7 @@
 			})
 		}
 		wg.Wait()
-		if ledger.Sleep(ctx, l.set.Report/2) != nil {
+		if link.Sleep(ctx, l.set.Report/2) != nil {
 			return
 		}
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -13,6 +13,7 @@
 	"drumpick/internal/config"
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 	"drumpick/internal/peer"
 
 	"github.com/gofiber/fiber/v2"
@@ -492,7 +493,7 @@
 // controller that is cut off.
 func (s *Server) Watch(ctx context.Context) {
 	report := s.cfg.Report()
-	for ledger.Sleep(ctx, report/4) == nil {
+	for link.Sleep(ctx, report/4) == nil {
 		served := false
 		_, failing, _ := s.store.Health()
 		if failing {
--- a/internal/intake/relay.go
+++ b/internal/intake/relay.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"drumpick/internal/config"
-	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 	"drumpick/internal/peer"
 	"drumpick/internal/relay"
 
@@ -110,7 +110,7 @@
 // leads no more, or takes no bundles, is asked again later.
 func (s *Server) Offer(ctx context.Context) {
 	report := s.cfg.Report()
-	for ledger.Sleep(ctx, report/2) == nil {
+	for link.Sleep(ctx, report/2) == nil {
 		node := s.leader()
 		if s.local() != nil || node == s.cfg.Node || !s.relays.takes(true, node, time.Now()) {
 			continue
--- a/internal/operator/drains.go
+++ b/internal/operator/drains.go
@@ -12,6 +12,7 @@
 	"drumpick/internal/dispatch"
 	"drumpick/internal/drain"
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 	"drumpick/internal/peer"
 
 	"github.com/gofiber/fiber/v2"
@@ -135,7 +136,7 @@
 			return again(in.Spec, row)
 		}
 		// Whether it can be, the leader knows; it changes nothing.
-		if out := s.plan(in); out.Status == statusUnread && ledger.Sleep(ctx, s.wait/20) == nil {
+		if out := s.plan(in); out.Status == statusUnread && link.Sleep(ctx, s.wait/20) == nil {
 			continue
 		} else if out.Status == statusUnread {
 			return answer(503, failure{"the leader has not read all drains yet; please retry"})
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -309,7 +309,7 @@
 			if err := r.controllers[i].failure(); err != nil {
 				return err
 			}
-			if err := ledger.Sleep(ctx, 20*time.Millisecond); err != nil {
+			if err := link.Sleep(ctx, 20*time.Millisecond); err != nil {
 				return err
 			}
 		}
@@ -331,7 +331,7 @@
 			since = max(since, row.Stamp)
 		}
 		r.World.Sweep()
-		if ledger.Sleep(r.ctx, config.Seconds(reportS)) != nil {
+		if link.Sleep(r.ctx, config.Seconds(reportS)) != nil {
 			return
 		}
 	}
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -8,6 +8,7 @@
 
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 	"drumpick/internal/rental"
 )
 
@@ -186,7 +187,7 @@
 // boot brings the machine up; false: it is gone before that.
 func (m *Machine) boot() bool {
 	w := m.w
-	if ledger.Sleep(w.ctx, w.Startup) != nil {
+	if link.Sleep(w.ctx, w.Startup) != nil {
 		return false
 	}
 	if w.Open != nil {
@@ -233,7 +234,7 @@
 		w.mu.Unlock()
 		if !silent {
 			status, resp, conductor := w.Report(node, r)
-			if status == 0 && ledger.Sleep(w.ctx, w.Every) != nil {
+			if status == 0 && link.Sleep(w.ctx, w.Every) != nil {
 				return
 			}
 			w.mu.Lock()
@@ -246,7 +247,7 @@
 				// It goes there at once, or after up to half a second.
 				node = slices.Index(w.Nodes, conductor)
 				w.mu.Unlock()
-				if ledger.Sleep(w.ctx, min(w.Every, time.Second)/4) != nil {
+				if link.Sleep(w.ctx, min(w.Every, time.Second)/4) != nil {
 					return
 				}
 				continue
@@ -279,7 +280,7 @@
 		return false
 	case <-t.C:
 	case <-m.poke:
-		return ledger.Sleep(w.ctx, w.Every/4) == nil
+		return link.Sleep(w.ctx, w.Every/4) == nil
 	}
 	return true
 }
--- a/internal/standin/measure_test.go
+++ b/internal/standin/measure_test.go
@@ -11,6 +11,7 @@
 
 	"drumpick/internal/drain"
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 )
 
 var (
@@ -55,7 +56,7 @@
 		r := rand.New(rand.NewPCG(s.seed, uint64(i)))
 		go func() {
 			for time.Now().Before(s.until) {
-				if ledger.Sleep(s.ctx, time.Duration(every*r.ExpFloat64()*float64(time.Second))) != nil {
+				if link.Sleep(s.ctx, time.Duration(every*r.ExpFloat64()*float64(time.Second))) != nil {
 					return
 				}
 				s.post(ledger.Job{
@@ -75,7 +76,7 @@
 	s.jobs[j.ID] = &posted{class: j.Class, at: time.Now(), due: time.Duration(due * float64(time.Second))}
 	s.mu.Unlock()
 	for s.submit(s.n%3, j) != 201 {
-		if ledger.Sleep(s.ctx, time.Second) != nil {
+		if link.Sleep(s.ctx, time.Second) != nil {
 			return
 		}
 	}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 
 	"golang.org/x/time/rate"
 )
@@ -397,7 +398,7 @@
 const latency = 5 * time.Millisecond
 
 func (c *Client) pass(ctx context.Context) error {
-	if err := ledger.Sleep(ctx, latency); err != nil {
+	if err := link.Sleep(ctx, latency); err != nil {
 		return err
 	}
 	refused := c.s.away(c.name)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -11,6 +11,7 @@
 
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 	"drumpick/internal/rental"
 )
 
@@ -183,7 +184,7 @@
 }
 
 func (c *CloudClient) pass(ctx context.Context) error {
-	if err := ledger.Sleep(ctx, 20*latency); err != nil {
+	if err := link.Sleep(ctx, 20*latency); err != nil {
 		return err
 	}
 	if !c.Alive() {
@@ -340,7 +341,7 @@
 
 // Orders gives direct commands to a worker.
 func (w *World) Orders(addr string, d fleet.Direct) (int, *fleet.Report, error) {
-	_ = ledger.Sleep(w.ctx, latency)
+	_ = link.Sleep(w.ctx, latency)
 	w.mu.Lock()
 	m := w.machines[addr]
 	w.mu.Unlock()
--- a/internal/ledger/client.go
+++ b/internal/store/client.go
@@ -1,6 +1,6 @@
-// Package ledger talks to the state service and knows the records and keys that
-// drumpick keeps there.
-package ledger
+// Package store talks to the state service: requests within its rates, and what each
+// answer, or none, lets a caller conclude (package ledger has the records and errors).
+package store
 
 import (
 	"context"
@@ -13,23 +13,13 @@
 	"sync"
 	"time"
 
+	"drumpick/internal/ledger"
 	"drumpick/internal/link"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/time/rate"
 )
 
-// Errors of the state service, by what the caller may conclude from them.
-var (
-	ErrRefused    = errors.New("state service refused the request (503)")           // not executed
-	ErrThrottled  = errors.New("state service: too many requests (429)")            // not executed
-	ErrNoAnswer   = errors.New("state service did not answer")                      // may have been, or may yet be, executed
-	ErrNoGrant    = errors.New("state service: no such lease")                      // the lease has ended
-	ErrCompacted  = errors.New("state service: revision too old, read again (410)") // watch from a fresh read
-	ErrInvalid    = errors.New("state service: malformed or too large (400)")       // not executed, nor will it ever be
-	ErrUnexpected = errors.New("state service: unexpected answer")
-)
-
 var (
 	requestSeconds  = metrics.NewHistogram("drumpick_state_request_seconds")
 	refusedTotal    = metrics.NewCounter("drumpick_state_refused_total")
@@ -37,44 +27,6 @@
 	unansweredTotal = metrics.NewCounter("drumpick_state_unanswered_total")
 )
 
-// ConflictError says which conditions of a commit did not hold.
-type ConflictError struct {
-	Failed []string `json:"failed"`
-	Epoch  uint64   `json:"epoch"`
-}
-
-func (e *ConflictError) Error() string { return fmt.Sprintf("conditions failed: %v", e.Failed) }
-
-// Row is a key with its value and the revision of its last change.
-type Row struct {
-	Key   string          `json:"k"`
-	Value json.RawMessage `json:"value"`
-	Stamp uint64          `json:"stamp"`
-	Hold  uint64          `json:"hold"`
-}
-
-// Cond requires that a key has the given stamp; 0 means absent.
-type Cond struct {
-	Key   string `json:"k"`
-	Stamp uint64 `json:"stamp"`
-}
-
-// Op is one change of a commit: a write or a delete.
-type Op struct {
-	Write  string `json:"write,omitempty"`
-	Value  any    `json:"value,omitempty"`
-	Hold   uint64 `json:"hold,omitempty"`
-	Delete string `json:"delete,omitempty"`
-}
-
-// Event is one entry of a watch's log.
-type Event struct {
-	Write  string          `json:"write"`
-	Delete string          `json:"delete"`
-	Value  json.RawMessage `json:"value"`
-	Stamp  uint64          `json:"stamp"`
-}
-
 // Client is a connection to the state service. It is safe for concurrent use.
 type Client struct {
 	link    *link.Client
@@ -145,7 +97,7 @@
 	if err != nil {
 		unansweredTotal.Inc()
 		c.note(false)
-		return 0, nil, fmt.Errorf("%w: %s %s: %v", ErrNoAnswer, method, uri, err)
+		return 0, nil, fmt.Errorf("%w: %s %s: %v", ledger.ErrNoAnswer, method, uri, err)
 	}
 	if timeout <= c.timeout { // watches wait on purpose
 		requestSeconds.UpdateDuration(began)
@@ -154,10 +106,10 @@
 	case 503:
 		refusedTotal.Inc()
 		c.note(false)
-		return status, nil, ErrRefused
+		return status, nil, ledger.ErrRefused
 	case 429:
 		throttledTotal.Inc()
-		return status, nil, ErrThrottled
+		return status, nil, ledger.ErrThrottled
 	}
 	c.note(true)
 	return status, raw, nil
@@ -168,21 +120,18 @@
 	wait := c.timeout / 20
 	for i := 0; ; i++ {
 		status, raw, err := c.call(ctx, method, uri, body, c.timeout)
-		if !errors.Is(err, ErrThrottled) || i == 3 {
+		if !errors.Is(err, ledger.ErrThrottled) || i == 3 {
 			return status, raw, err
 		}
-		if err := Sleep(ctx, wait/2+rand.N(wait)); err != nil {
+		if err := link.Sleep(ctx, wait/2+rand.N(wait)); err != nil {
 			return 0, nil, err
 		}
 		wait *= 2
 	}
 }
 
-// Sleep waits for d or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) error { return link.Sleep(ctx, d) }
-
 // Get reads a key. It returns nil when the key is absent.
-func (c *Client) Get(ctx context.Context, key string) (*Row, error) {
+func (c *Client) Get(ctx context.Context, key string) (*ledger.Row, error) {
 	status, raw, err := c.retry429(ctx, "GET", "/store/"+key, nil)
 	if err != nil {
 		return nil, err
@@ -194,22 +143,22 @@
 			Epoch *uint64 `json:"epoch"`
 		}
 		if json.Unmarshal(raw, &e) != nil || e.Epoch == nil {
-			return nil, fmt.Errorf("%w: 404 without epoch", ErrUnexpected)
+			return nil, fmt.Errorf("%w: 404 without epoch", ledger.ErrUnexpected)
 		}
 		return nil, nil
 	case 200:
-		var r Row
+		var r ledger.Row
 		if err := json.Unmarshal(raw, &r); err != nil || r.Key != key || r.Stamp == 0 {
-			return nil, fmt.Errorf("%w: bad row for %s", ErrUnexpected, key)
+			return nil, fmt.Errorf("%w: bad row for %s", ledger.ErrUnexpected, key)
 		}
 		return &r, nil
 	}
-	return nil, fmt.Errorf("%w: %d for %s", ErrUnexpected, status, key)
+	return nil, fmt.Errorf("%w: %d for %s", ledger.ErrUnexpected, status, key)
 }
 
 // List reads every key under a prefix. The epoch returned is that of the first
 // page: a watch from there misses nothing.
-func (c *Client) List(ctx context.Context, prefix string, each func(Row) error) (uint64, error) {
+func (c *Client) List(ctx context.Context, prefix string, each func(ledger.Row) error) (uint64, error) {
 	var epoch uint64
 	since := ""
 	for {
@@ -222,15 +171,15 @@
 			return 0, err
 		}
 		var page struct {
-			Rows  []Row  `json:"rows"`
-			More  bool   `json:"more"`
-			Epoch uint64 `json:"epoch"`
+			Rows  []ledger.Row `json:"rows"`
+			More  bool         `json:"more"`
+			Epoch uint64       `json:"epoch"`
 		}
 		if status != 200 {
-			return 0, fmt.Errorf("%w: %d for list %s", ErrUnexpected, status, prefix)
+			return 0, fmt.Errorf("%w: %d for list %s", ledger.ErrUnexpected, status, prefix)
 		}
 		if err := json.Unmarshal(raw, &page); err != nil {
-			return 0, fmt.Errorf("%w: %v", ErrUnexpected, err)
+			return 0, fmt.Errorf("%w: %v", ledger.ErrUnexpected, err)
 		}
 		if epoch == 0 {
 			epoch = page.Epoch
@@ -248,16 +197,16 @@
 }
 
 // Commit applies ops if all conditions hold, and returns the revision.
-func (c *Client) Commit(ctx context.Context, when []Cond, ops []Op) (uint64, error) {
+func (c *Client) Commit(ctx context.Context, when []ledger.Cond, ops []ledger.Op) (uint64, error) {
 	if when == nil {
-		when = []Cond{}
+		when = []ledger.Cond{}
 	}
 	if ops == nil {
-		ops = []Op{}
+		ops = []ledger.Op{}
 	}
 	status, raw, err := c.retry429(ctx, "POST", "/commit", struct {
-		When   []Cond `json:"when"`
-		Writes []Op   `json:"writes"`
+		When   []ledger.Cond `json:"when"`
+		Writes []ledger.Op   `json:"writes"`
 	}{when, ops})
 	if err != nil {
 		return 0, err
@@ -269,13 +218,13 @@
 		}
 		if err := json.Unmarshal(raw, &r); err != nil || r.Epoch == 0 {
 			// It was executed, but what came back is unreadable: treat it as unknown.
-			return 0, fmt.Errorf("%w: unreadable commit answer", ErrNoAnswer)
+			return 0, fmt.Errorf("%w: unreadable commit answer", ledger.ErrNoAnswer)
 		}
 		return r.Epoch, nil
 	case 409:
-		var e ConflictError
+		var e ledger.ConflictError
 		if err := json.Unmarshal(raw, &e); err != nil {
-			return 0, fmt.Errorf("%w: %v", ErrUnexpected, err)
+			return 0, fmt.Errorf("%w: %v", ledger.ErrUnexpected, err)
 		}
 		return 0, &e
 	case 400:
@@ -284,11 +233,11 @@
 		}
 		_ = json.Unmarshal(raw, &e)
 		if e.Error == "no such lease" {
-			return 0, ErrNoGrant
+			return 0, ledger.ErrNoGrant
 		}
-		return 0, fmt.Errorf("%w: %s", ErrInvalid, e.Error)
+		return 0, fmt.Errorf("%w: %s", ledger.ErrInvalid, e.Error)
 	}
-	return 0, fmt.Errorf("%w: %d for commit", ErrUnexpected, status)
+	return 0, fmt.Errorf("%w: %d for commit", ledger.ErrUnexpected, status)
 }
 
 // Grant obtains a lease of the given life.
@@ -301,12 +250,12 @@
 		Hold uint64 `json:"hold"`
 	}
 	if status != 200 || json.Unmarshal(raw, &r) != nil || r.Hold == 0 {
-		return 0, fmt.Errorf("%w: %d for grant", ErrUnexpected, status)
+		return 0, fmt.Errorf("%w: %d for grant", ledger.ErrUnexpected, status)
 	}
 	return r.Hold, nil
 }
 
-// Extend renews a lease; ErrNoGrant says that it has ended.
+// Extend renews a lease; ledger.ErrNoGrant says that it has ended.
 func (c *Client) Extend(ctx context.Context, hold uint64, timeout time.Duration) error {
 	status, _, err := c.call(ctx, "POST", "/grants/"+strconv.FormatUint(hold, 10)+"/extend", struct{}{}, timeout)
 	switch {
@@ -315,9 +264,9 @@
 	case status == 200:
 		return nil
 	case status == 404:
-		return ErrNoGrant
+		return ledger.ErrNoGrant
 	}
-	return fmt.Errorf("%w: %d for extend", ErrUnexpected, status)
+	return fmt.Errorf("%w: %d for extend", ledger.ErrUnexpected, status)
 }
 
 // Drop ends a lease; nothing depends on its success.
@@ -326,24 +275,24 @@
 }
 
 // Watch waits until something under prefix changes after the given revision.
-func (c *Client) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]Event, uint64, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]ledger.Event, uint64, error) {
 	uri := fmt.Sprintf("/watch?under=%s&since=%d&wait_ms=%d", url.QueryEscape(prefix), since, wait.Milliseconds())
 	status, raw, err := c.call(ctx, "GET", uri, nil, wait+c.timeout)
 	if err != nil {
 		return nil, since, err
 	}
 	if status == 410 {
-		return nil, since, ErrCompacted
+		return nil, since, ledger.ErrCompacted
 	}
 	var r struct {
-		Epoch uint64  `json:"epoch"`
-		Log   []Event `json:"log"`
+		Epoch uint64         `json:"epoch"`
+		Log   []ledger.Event `json:"log"`
 	}
 	if status != 200 {
-		return nil, since, fmt.Errorf("%w: %d for watch", ErrUnexpected, status)
+		return nil, since, fmt.Errorf("%w: %d for watch", ledger.ErrUnexpected, status)
 	}
 	if err := json.Unmarshal(raw, &r); err != nil || r.Epoch < since {
-		return nil, since, fmt.Errorf("%w: unreadable watch answer", ErrUnexpected)
+		return nil, since, fmt.Errorf("%w: unreadable watch answer", ledger.ErrUnexpected)
 	}
 	return r.Log, r.Epoch, nil
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -14,6 +14,7 @@
 
 	"drumpick/internal/config"
 	"drumpick/internal/ledger"
+	"drumpick/internal/link"
 )
 
 // Store is what tenure needs of the state service.
@@ -90,7 +91,7 @@
 			t.serve(ctx, term, hold, sent, lead)
 		case err != nil:
 			slog.Debug("tenure: cannot reach the leader key", "err", err)
-			_ = ledger.Sleep(ctx, t.life/8+rand.N(t.life/8))
+			_ = link.Sleep(ctx, t.life/8+rand.N(t.life/8))
 		}
 	}
 }
@@ -122,7 +123,7 @@
 	barred := time.Until(t.barred)
 	t.mu.Unlock()
 	if barred > 0 {
-		return 0, 0, sent, ledger.Sleep(ctx, min(barred, t.life/8))
+		return 0, 0, sent, link.Sleep(ctx, min(barred, t.life/8))
 	}
 	sent = time.Now()
 	hold, err = t.store.Grant(ctx, t.life)
@@ -178,7 +179,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); lead(ctx, term) }()
 	for ctx.Err() == nil {
-		if ledger.Sleep(ctx, t.life/4) != nil {
+		if link.Sleep(ctx, t.life/4) != nil {
 			break
 		}
 		sent := time.Now()
--- a/internal/fleet/caller.go
+++ b/internal/workers/caller.go
@@ -1,4 +1,5 @@
-package fleet
+// Package workers sends direct commands to workers.
+package workers
 
 import (
 	"errors"
@@ -6,6 +7,7 @@
 	"sync"
 	"time"
 
+	"drumpick/internal/fleet"
 	"drumpick/internal/link"
 
 	"github.com/mailru/easyjson"
@@ -54,7 +56,7 @@
 
 // Orders sends commands. On 200 they were executed, on 409 nothing was; either
 // way the worker's report comes back.
-func (c *Caller) Orders(addr string, d Direct) (int, *Report, error) {
+func (c *Caller) Orders(addr string, d fleet.Direct) (int, *fleet.Report, error) {
 	status, raw, err := c.client(addr).JSON("POST", "/orders", d, time.Now().Add(c.timeout))
 	if err != nil {
 		return 0, nil, fmt.Errorf("worker %s: %w", addr, err)
@@ -62,7 +64,7 @@
 	if status != 200 && status != 409 {
 		return status, nil, fmt.Errorf("worker %s: status %d", addr, status)
 	}
-	var r Report
+	var r fleet.Report
 	if err := easyjson.Unmarshal(raw, &r); err != nil {
 		return status, nil, fmt.Errorf("worker %s: %w", addr, err)
 	}
