What drives a term has a package of its own; what decides calls nobody

Change, of no behaviour: package lead has the leader, takeover, fencing, flush, outage, witness, rentals' and drains' calls. dispatch keeps the Core and, in Records, what is to be stored next; it links no client, peer, tenure or HTTP library, which a test on go list -deps holds. Why a job stands twice, for users and in the store, is said at both.

--- a/client/client.go
+++ b/client/client.go
@@ -28,7 +28,9 @@
 )
 
 // Job is a submission (PROTOCOL, POST /work). Amounts are per task, times in seconds,
-// sizes in GB.
+// sizes in GB. The store's record of a job stands apart (internal/ledger): it has what the
+// service adds, and is read by controllers of several versions, while this one changes only
+// with the protocol, and programs of others are built on it.
 type Job struct {
 	ID          string   `json:"uid"`
 	Class       string   `json:"jobclass"`
--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -16,9 +16,9 @@
 
 	"drumpick/internal/cloud"
 	"drumpick/internal/config"
-	"drumpick/internal/dispatch"
 	"drumpick/internal/frontier"
 	"drumpick/internal/intake"
+	"drumpick/internal/lead"
 	"drumpick/internal/ledger"
 	"drumpick/internal/link"
 	"drumpick/internal/operator"
@@ -52,7 +52,7 @@
 		time.Duration(float64(report)*cfg.Options.GrantReports), cfg.Options.Marks)
 	var witness frontier.Witness
 
-	var leader atomic.Pointer[dispatch.Leader]
+	var leader atomic.Pointer[lead.Leader]
 	server := intake.New(cfg, store, peers, ten.Leader, func() intake.Local {
 		if l := leader.Load(); l != nil {
 			return l
@@ -121,7 +121,7 @@
 	go server.Watch(ctx)
 	go learnTypes(ctx, server, store, cloud, report)
 	go ten.Run(ctx, func(ctx context.Context, term uint64) {
-		l := dispatch.NewLeader(cfg, store, cloud, ten, peers, workers, &witness, server.Quiet, term)
+		l := lead.New(cfg, store, cloud, ten, peers, workers, &witness, server.Quiet, term)
 		leader.Store(l)
 		defer leader.Store(nil)
 		l.Run(ctx)
--- a/cmd/drumpick/deps_test.go
+++ b/cmd/drumpick/deps_test.go
@@ -9,18 +9,33 @@
 // The daemon links nothing of the client, the stand-ins, or what is there for them: its
 // start, memory and processor share are counted.
 func TestLean(t *testing.T) {
-	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	without(t, ".", []string{
+		"drumpick/client", "drumpick/internal/region", "drumpick/internal/standin", "drumpick/internal/jobfile", "drumpick/internal/history",
+		"go.etcd.io/bbolt", "github.com/santhosh-tekuri/jsonschema", "gopkg.in/yaml", "golang.org/x/term", "golang.org/x/text",
+		"pgregory.net/rapid", "github.com/anishathalye/porcupine",
+	})
+}
+
+// What decides neither calls anybody nor knows who leads: whatever it does can be told to it
+// and read from it in a test.
+func TestDecisionsCallNobody(t *testing.T) {
+	without(t, "drumpick/internal/dispatch", []string{
+		"drumpick/internal/store", "drumpick/internal/cloud", "drumpick/internal/workers", "drumpick/internal/peer", "drumpick/internal/link",
+		"drumpick/internal/tenure", "drumpick/internal/lead", "drumpick/internal/intake", "github.com/valyala/fasthttp", "github.com/gofiber/fiber",
+	})
+}
+
+// without lists what a package links, and finds nothing of what it is to do without.
+func without(t *testing.T, pkg string, nots []string) {
+	t.Helper()
+	out, err := exec.Command("go", "list", "-deps", pkg).Output()
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, dep := range strings.Fields(string(out)) {
-		for _, not := range []string{
-			"drumpick/client", "drumpick/internal/region", "drumpick/internal/standin", "drumpick/internal/jobfile", "drumpick/internal/history",
-			"go.etcd.io/bbolt", "github.com/santhosh-tekuri/jsonschema", "gopkg.in/yaml", "golang.org/x/term", "golang.org/x/text",
-			"pgregory.net/rapid", "github.com/anishathalye/porcupine",
-		} {
+		for _, not := range nots {
 			if dep == not || strings.HasPrefix(dep, not+"/") {
-				t.Errorf("the daemon links %s", dep)
+				t.Errorf("%s links %s", pkg, dep)
 			}
 		}
 	}
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -41,7 +41,7 @@
 	s := &site{now: time.Unix(1_000_000, 0), r: rand.New(rand.NewPCG(1, 2)), chain: chain}
 	s.core = NewCore(SettingsOf(cfg), 5, s.now)
 	s.core.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, CacheGB: 40, Zones: []string{"a", "b"}}})
-	s.core.checkSettled(s.now)
+	s.core.CheckSettled(s.now)
 	s.core.rent.ready = true
 	for range 100 {
 		s.submit()
@@ -99,7 +99,7 @@
 		panic("a report is taken for stale")
 	}
 	s.core.Observe(m)
-	s.core.choose(m, s.now)
+	s.core.Choose(m, s.now)
 	resp := s.core.Respond(m, true, s.now)
 	s.core.Answered(m, s.now)
 	for _, o := range resp.Orders {
--- a/internal/dispatch/chains.go
+++ b/internal/dispatch/chains.go
@@ -1,20 +1,13 @@
 package dispatch
 
 import (
-	"context"
-	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	"drumpick/internal/chain"
 	"drumpick/internal/config"
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
-	"drumpick/internal/link"
-
-	"golang.org/x/time/rate"
 )
 
 // link takes a job into the graph.
@@ -105,16 +98,16 @@
 }
 
 // finish moves a job to the over records.
-func (c *Core) finish(j *Job, o ledger.Over) write {
+func (c *Core) finish(j *Job, o ledger.Over) Write {
 	j.finishing = true
 	o.Tasks = j.Tasks
-	return write{
-		ops: []ledger.Op{
+	return Write{
+		Ops: []ledger.Op{
 			{Delete: ledger.OpenKey(j.ID)},
 			{Write: ledger.OverKey(j.ID), Value: o},
 		},
-		when: []ledger.Cond{{Key: ledger.OpenKey(j.ID), Stamp: j.Stamp}}, key: ledger.OpenKey(j.ID),
-		apply: func(stamp uint64) {
+		When: []ledger.Cond{{Key: ledger.OpenKey(j.ID), Stamp: j.Stamp}}, Key: ledger.OpenKey(j.ID),
+		Apply: func(stamp uint64) {
 			slog.Debug("job over", "job", j.ID, "class", j.Class, "status", o.Status, "after", j.Prereqs,
 				"waited_s", j.waited(), "took_s", time.Since(j.base).Seconds(), "due_s", j.left(j.terms.Due), "term", c.term)
 			c.Over(j.ID, o, stamp)
@@ -123,81 +116,16 @@
 		// gone because its user cancelled it, or because this very write went through
 		// before and its answer was lost. Only the over record tells; until it is
 		// read, nothing behind the job starts or is cancelled.
-		lost: func() { c.CloseJob(j.ID) },
+		Lost: func() { c.CloseJob(j.ID) },
 	}
 }
 
-// resolve reads what has become of jobs that open ones name.
-func (l *Leader) resolve(ctx context.Context) {
-	share := max(l.cfg.Facts.State.Lowest().RPS*resolveShare, 1)
-	reads := rate.NewLimiter(rate.Limit(share), int(share))
-	pause := l.set.Report / 8
-	missing := map[string]time.Time{} // not over when last read: to be read again later
-	for link.Sleep(ctx, pause/2+rand.N(pause)) == nil {
-		l.mu.Lock()
-		ids := l.core.chain.Unread()
-		l.mu.Unlock()
-		var wg sync.WaitGroup
-		var absent []string
-		slots := make(chan struct{}, mostReads)
-		now := time.Now()
-		for _, id := range ids {
-			if now.Before(missing[id]) {
-				continue
-			}
-			delete(missing, id)
-			if reads.Wait(ctx) != nil {
-				break
-			}
-			slots <- struct{}{}
-			wg.Add(1)
-			go func() {
-				defer func() { <-slots; wg.Done() }()
-				row, err := l.store.Get(ctx, ledger.OverKey(id))
-				if err != nil {
-					slog.Debug("store: no answer about a job before others", "job", id, "err", err)
-					return
-				}
-				l.mu.Lock()
-				defer l.mu.Unlock()
-				var o ledger.Over
-				if row == nil || json.Unmarshal(row.Value, &o) != nil {
-					// It may be open, and the watch about to tell.
-					absent = append(absent, id)
-					return
-				}
-				l.core.Over(id, o, row.Stamp)
-			}()
-		}
-		wg.Wait()
-		for _, id := range absent {
-			missing[id] = now.Add(l.set.Report)
-		}
-		l.mu.Lock()
-		doomed := len(l.core.chain.Doomed()) > 0
-		l.mu.Unlock()
-		if doomed {
-			l.poke()
-		}
-		if len(missing) > 4*len(ids)+64 {
-			clear(missing)
-		}
-	}
-}
+// Unread lists the jobs of which it is not known what has become of them, and that open
+// ones name.
+func (c *Core) Unread() []string { return c.chain.Unread() }
 
-const (
-	// resolveShare is the share of the store's request rate that such reads may take,
-	// and mostReads how many are under way at once.
-	resolveShare = 0.25
-	mostReads    = 8
-)
+// Doomed says whether any job is to be cancelled with one before it.
+func (c *Core) Doomed() bool { return len(c.chain.Doomed()) > 0 }
 
-// Clear says whether, as far as the watch has come, no job before this one is cancelled,
-// and how long ago it had come there.
-func (l *Leader) Clear(id string) (time.Duration, bool) {
-	// In this order: what the watch brings in between makes the word older, not wrong.
-	contact := l.lastContact()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return time.Since(contact), l.core.chain.Clear(id)
-}
+// Clear says whether no job before this one is known to be cancelled.
+func (c *Core) Clear(id string) bool { return c.chain.Clear(id) }
--- a/internal/dispatch/claims_test.go
+++ b/internal/dispatch/claims_test.go
@@ -90,7 +90,7 @@
 		y.t.Fatalf("a report in order is called stale")
 	}
 	m.Recorded = true
-	y.c.choose(m, y.now)
+	y.c.Choose(m, y.now)
 	resp := y.c.Respond(m, true, y.now)
 	y.c.Answered(m, y.now)
 	y.obey(h, resp.Orders)
@@ -225,7 +225,7 @@
 		y := &yard{t: t, now: time.Unix(1_000_000, 0), jobs: map[string]ledger.Job{}, runs: map[string]time.Duration{}, asked: map[string]time.Time{}, began: map[string]bool{}}
 		y.c = NewCore(SettingsOf(cfg), 5, y.now)
 		y.c.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: yardCPUs, MemGB: 16, Price: 0.2, StartupS: 20, CacheGB: 40, Zones: []string{"a", "b"}}})
-		y.c.checkSettled(y.now)
+		y.c.CheckSettled(y.now)
 		for i := range 2 * slots {
 			host := fmt.Sprintf("m-%02d", i)
 			y.hosts = append(y.hosts, &yardHost{report: fleet.Report{Host: host, Addr: host, Type: "c4", Zone: string("ab"[i%2]), Stint: 1, Baton: 5}})
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -214,7 +214,7 @@
 	return &Core{
 		set: set, term: term, jobs: map[string]*Job{}, chain: chain.New(), alike: map[likeness]int{}, types: map[string]ledger.MachineType{},
 		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{}, marks: newMarks(),
-		means: means.New(set.Report, set.Report/tickShare), cuts: zones.New(set.Lease),
+		means: means.New(set.Report, set.Report/TickShare), cuts: zones.New(set.Lease),
 		rent: newRentState(), spaces: map[string]*packing.Space{},
 	}
 }
--- a/internal/dispatch/drainbench_test.go
+++ b/internal/dispatch/drainbench_test.go
@@ -23,7 +23,7 @@
 	now := time.Unix(1_000_000, 0)
 	c := NewCore(SettingsOf(cfg), 5, now)
 	c.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, CacheGB: 40, FetchGBps: 0.1, Zones: cfg.Facts.Zones}})
-	c.checkSettled(now)
+	c.CheckSettled(now)
 	const perJob = 100
 	for i := range machines * 10 / perJob {
 		j := ledger.Job{
@@ -50,7 +50,7 @@
 			r := *rep
 			m, _ := c.Body(&r, true, now)
 			if round == 0 {
-				c.choose(m, now)
+				c.Choose(m, now)
 			}
 			for _, o := range c.Respond(m, round == 0, now).Orders {
 				rep.Tasks = append(rep.Tasks, fleet.TaskReport{Shot: o.Shot, Try: o.Try, Status: "running"})
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -65,7 +65,7 @@
 		c.lastDrain = time.Time{} // it may come back into service
 	}
 	if !c.settled {
-		c.checkSettled(now)
+		c.CheckSettled(now)
 	}
 	if !m.Notice.IsZero() {
 		c.notice(m, now)
@@ -82,7 +82,7 @@
 	return m, false
 }
 
-func (c *Core) checkSettled(now time.Time) {
+func (c *Core) CheckSettled(now time.Time) {
 	if c.fleet.Unsettled() {
 		return
 	}
@@ -392,6 +392,6 @@
 	c.dirty = true
 	c.dropped = append(c.dropped, host)
 	if !c.settled {
-		c.checkSettled(now)
+		c.CheckSettled(now)
 	}
 }
--- a/internal/dispatch/marks.go
+++ b/internal/dispatch/marks.go
@@ -146,8 +146,8 @@
 	return j == nil || j.mark.Covers(a.Task.N)
 }
 
-// lacksMark says whether anything planned for a machine waits for its mark.
-func (c *Core) lacksMark(m *fleet.Machine) bool {
+// LacksMark says whether anything planned for a machine waits for its mark.
+func (c *Core) LacksMark(m *fleet.Machine) bool {
 	for _, a := range m.Attempts() {
 		if a.State == fleet.Planned && !c.covered(a) {
 			return true
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -436,8 +436,8 @@
 	return m.Bin.Cap.Sub(sum).Fits(j.req)
 }
 
-// choose plans what a machine that is being answered is to start.
-func (c *Core) choose(m *fleet.Machine, now time.Time) {
+// Choose plans what a machine that is being answered is to start.
+func (c *Core) Choose(m *fleet.Machine, now time.Time) {
 	if c.dirty && c.means.Level() == means.Easy {
 		c.place(now)
 	}
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -496,7 +496,7 @@
 				}
 				m.Lost, m.Settled, m.Dead = true, true, true
 				if !c.settled {
-					c.checkSettled(now)
+					c.CheckSettled(now)
 				}
 			}
 			if m == nil {
--- a/internal/dispatch/rounds.go
+++ b/internal/dispatch/rounds.go
@@ -61,7 +61,7 @@
 			up++
 		}
 	}
-	gap, c.late = max(gap, c.set.Report/tickShare+c.late), 0
+	gap, c.late = max(gap, c.set.Report/TickShare+c.late), 0
 	if c.means.Look(gap, up, now) {
 		slog.Info("how the leader keeps up", "level", c.means.Level().String(), "late", c.means.Late().Round(time.Millisecond), "machines", up, "term", c.term)
 	}
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -163,7 +163,7 @@
 		c.marks.loose = true
 		return nil
 	case "settle":
-		c.checkSettled(s.now)
+		c.CheckSettled(s.now)
 		return []string{fmt.Sprintf("settled: %v", c.settled)}
 	case "recorded":
 		for _, h := range rest {
@@ -347,7 +347,7 @@
 	}
 	run := a["run"] != "no"
 	if run {
-		s.core.choose(m, s.now)
+		s.core.Choose(m, s.now)
 	}
 	resp := s.core.Respond(m, run, s.now)
 	s.core.Answered(m, s.now)
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -82,34 +82,28 @@
 	return v
 }
 
-// Machines lists up to limit machines by name, behind since, without their tasks; more
+// ListMachines lists up to limit machines by name, behind since, without their tasks; more
 // says that there are others behind them.
-func (l *Leader) Machines(since string, limit int) (list []MachineView, more bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	all := l.core.fleet.Sorted()
+func (c *Core) ListMachines(since string, limit int, now time.Time) (list []MachineView, more bool) {
+	all := c.fleet.Sorted()
 	i, found := slices.BinarySearchFunc(all, since, func(m *fleet.Machine, name string) int { return strings.Compare(m.Host, name) })
 	if found {
 		i++
 	}
 	end := min(i+limit, len(all))
 	for _, m := range all[i:end] {
-		list = append(list, l.core.view(m, now))
+		list = append(list, c.view(m, now))
 	}
 	return list, end < len(all)
 }
 
-// Machine tells of one machine with all that is on it.
-func (l *Leader) Machine(name string) (MachineView, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	m := l.core.fleet.Machines[name]
+// DescribeMachine tells of one machine with all that is on it.
+func (c *Core) DescribeMachine(name string, now time.Time) (MachineView, bool) {
+	m := c.fleet.Machines[name]
 	if m == nil {
 		return MachineView{}, false
 	}
-	now := time.Now()
-	v := l.core.view(m, now)
+	v := c.view(m, now)
 	for _, a := range m.Attempts() {
 		t := TaskView{Task: a.Task.String(), Try: a.Try, State: a.State.String(), Stops: a.Stop}
 		if a.State != fleet.Ended {
--- /dev/null
+++ b/internal/lead/drains.go
@@ -0,0 +1,84 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"time"
+
+	"drumpick/internal/dispatch"
+	"drumpick/internal/drain"
+	"drumpick/internal/ledger"
+)
+
+// loadDrains reads what operators asked for, and how far earlier terms came with it.
+func (l *Leader) loadDrains(ctx context.Context, core *dispatch.Core) error {
+	states := map[string]*drain.State{}
+	if _, err := l.store.List(ctx, ledger.PrefixDrain, func(r ledger.Row) error {
+		var s drain.State
+		if err := json.Unmarshal(r.Value, &s); err != nil {
+			slog.Error("unreadable record", "key", r.Key, "err", err)
+			return nil
+		}
+		states[strings.TrimPrefix(r.Key, ledger.PrefixDrain)] = &s
+		return nil
+	}); err != nil {
+		return err
+	}
+	_, err := l.store.List(ctx, ledger.PrefixDrains, func(r ledger.Row) error {
+		if spec, ok := dispatch.ReadDrain(r.Key, r.Value); ok {
+			core.SetDrain(spec, states[spec.ID])
+		}
+		return nil
+	})
+	return err
+}
+
+// watchDrains follows what operators ask for.
+func (l *Leader) watchDrains(ctx context.Context, since uint64) {
+	l.follow(ctx, ledger.PrefixDrains, since, 2*l.set.Report, l.rereadDrains, func(events []ledger.Event, _ time.Time) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, e := range events {
+			if e.Write == "" {
+				l.core.DropDrain(strings.TrimPrefix(e.Delete, ledger.PrefixDrains))
+			} else if spec, ok := dispatch.ReadDrain(e.Write, e.Value); ok {
+				l.core.SetDrain(spec, nil)
+			}
+		}
+	})
+}
+
+// rereadDrains replaces a watch whose revision is too old.
+func (l *Leader) rereadDrains(ctx context.Context) (uint64, error) {
+	found := map[string]drain.Spec{}
+	epoch, err := l.store.List(ctx, ledger.PrefixDrains, func(r ledger.Row) error {
+		if spec, ok := dispatch.ReadDrain(r.Key, r.Value); ok {
+			found[spec.ID] = spec
+		}
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.KeepDrains(found)
+	return epoch, nil
+}
+
+// PlanDrain tells what a drain would do: of machines behind since with up to limit tasks,
+// and in all.
+func (l *Leader) PlanDrain(spec *drain.Spec, force bool, since string, limit int) (*drain.Plan, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.PagePlan(spec, force, since, limit, time.Now())
+}
+
+// Drain tells how a drain stands, as its leader knows it.
+func (l *Leader) Drain(id string) (dispatch.DrainView, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.DrainView(id)
+}
--- a/internal/dispatch/leader.go
+++ b/internal/lead/leader.go
@@ -1,4 +1,7 @@
-package dispatch
+// Package lead drives a term: it feeds what comes in to a dispatch.Core, carries the
+// decisions out, and keeps what the next leader needs in the store. What to decide is not
+// for here; whether a decision may still be carried out is.
+package lead
 
 import (
 	"context"
@@ -10,6 +13,7 @@
 	"time"
 
 	"drumpick/internal/config"
+	"drumpick/internal/dispatch"
 	"drumpick/internal/fleet"
 	"drumpick/internal/frontier"
 	"drumpick/internal/ledger"
@@ -46,11 +50,11 @@
 	Tell(ctx context.Context, word frontier.Word) (answers []peer.Status, all bool)
 }
 
-// Leader drives a Core through one term: it feeds events in and carries the
+// Leader drives a dispatch.Core through one term: it feeds events in and carries the
 // decisions out. Nothing is held locked over I/O.
 type Leader struct {
 	cfg     *config.Config
-	set     Settings
+	set     dispatch.Settings
 	store   Store
 	cloud   Cloud
 	tenure  *tenure.Tenure
@@ -59,20 +63,13 @@
 	witness *frontier.Witness    // this controller's own
 	quiet   func() time.Duration // since a user was last told of a cancellation here
 
-	term    uint64
-	mu      sync.Mutex
-	core    *Core
-	hosts   *ledger.Shelf // machines on record
-	done    *progress     // finished tasks on record
-	sent    *ledger.Shelf // marks on record
-	mostOps int           // changes in one commit
-	loaded  chan struct{}
-	wake    chan struct{} // something is to be stored
-	flushed time.Time     // when finished tasks were last gathered
-	over    []string      // jobs whose marks are of no use any more
-	marksAt time.Time     // when marks were last gathered
-	needed  bool          // a task waits for its mark
-	logged  chan struct{} // closed, and replaced, when machines have come on record
+	term   uint64
+	mu     sync.Mutex
+	core   *dispatch.Core
+	rec    *dispatch.Records
+	loaded chan struct{}
+	wake   chan struct{} // something is to be stored
+	logged chan struct{} // closed, and replaced, when machines have come on record
 
 	contactMu sync.Mutex
 	contact   time.Time // until then, no cancellation can have been missed
@@ -83,12 +80,12 @@
 	told      time.Time // when the others were last told how they stand; for announce alone
 }
 
-// NewLeader prepares a term; Run serves it.
-func NewLeader(cfg *config.Config, store Store, cloud Cloud, ten *tenure.Tenure, peers Peers, workers Workers, witness *frontier.Witness, quiet func() time.Duration, term uint64) *Leader {
-	set := SettingsOf(cfg)
+// New prepares a term; Run serves it.
+func New(cfg *config.Config, store Store, cloud Cloud, ten *tenure.Tenure, peers Peers, workers Workers, witness *frontier.Witness, quiet func() time.Duration, term uint64) *Leader {
+	set := dispatch.SettingsOf(cfg)
 	return &Leader{
 		cfg: cfg, set: set, store: store, cloud: cloud, tenure: ten, peers: peers, workers: workers, witness: witness, quiet: quiet,
-		term: term, core: NewCore(set, term, time.Now()), mostOps: cfg.Facts.State.Lowest().TxnOps,
+		term: term, core: dispatch.NewCore(set, term, time.Now()),
 		loaded: make(chan struct{}), wake: make(chan struct{}, 1), logged: make(chan struct{}),
 		word: frontier.Word{Term: term, Epoch: term},
 	}
@@ -146,8 +143,8 @@
 				l.core.CloseJob(id) // how it ended, its over record tells
 			}
 		}
-		if len(events) > 0 && l.core.dirty && l.granted() {
-			l.core.place(now)
+		if len(events) > 0 && l.granted() {
+			l.core.Replan(now)
 		}
 		l.mu.Unlock()
 		l.touched(asked)
@@ -189,12 +186,7 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, j := range l.core.jobs {
-		// A job newer than the list is not in it.
-		if _, ok := open[id]; !ok && j.Stamp <= epoch {
-			l.core.CloseJob(id)
-		}
-	}
+	l.core.CloseMissing(func(id string) bool { _, ok := open[id]; return ok }, epoch)
 	for _, r := range open {
 		l.addJob(l.core, r.Key, r.Value, r.Stamp, now, now)
 	}
@@ -222,7 +214,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.core.late = max(l.core.late, time.Since(now))
+	l.core.Waited(time.Since(now))
 	if r.Baton > l.term {
 		// Somebody leads with a higher term: not we.
 		l.tenure.Resign()
@@ -239,7 +231,7 @@
 	now = time.Now()
 	can := l.mayStart()
 	// Asked with the lock held from there on until the answer is made: announce relies on it.
-	l.core.marks.loose = l.isLoose(now)
+	l.core.SetLoose(l.isLoose(now))
 	if can {
 		ok, stands := l.marked(m, now)
 		if !ok {
@@ -247,8 +239,8 @@
 		}
 		if !stands {
 			now = time.Now()
-			l.core.marks.loose = l.isLoose(now)
-			l.core.choose(m, now)
+			l.core.SetLoose(l.isLoose(now))
+			l.core.Choose(m, now)
 		}
 	}
 	resp := l.core.Respond(m, can, now)
@@ -257,7 +249,7 @@
 	if can && !l.mayStart() {
 		return 503, fleet.Response{}
 	}
-	if l.core.unstored() {
+	if l.core.Unstored() {
 		l.poke()
 	}
 	l.core.Answered(m, time.Now())
@@ -268,7 +260,7 @@
 // felt it.
 func (l *Leader) Late(d time.Duration) {
 	l.mu.Lock()
-	l.core.late = max(l.core.late, d)
+	l.core.Waited(d)
 	l.mu.Unlock()
 }
 
@@ -291,7 +283,7 @@
 		}
 		l.mu.Lock()
 	}
-	return l.core.fleet.Machines[m.Host] == m && m.Stint == stint && m.Tick == tick && l.supports(time.Now())
+	return l.core.Latest(m, stint, tick) && l.supports(time.Now())
 }
 
 // Unreachable says whether a worker whose report a peer passed on cannot reach
@@ -309,45 +301,20 @@
 	}
 }
 
-// Progress tells how a job stands, for display.
-func (l *Leader) Progress(id string) (string, int, int, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.core.Progress(id)
-}
-
-// tickShare is the part of a report interval, one in so many, between two ticks.
-const tickShare = 8
-
 // tick does what time brings, and sends kills out at once.
 func (l *Leader) tick(ctx context.Context) {
-	every := l.set.Report / tickShare
+	every := l.set.Report / dispatch.TickShare
 	for began := time.Now(); link.Sleep(ctx, every) == nil; began = time.Now() {
 		now := time.Now()
 		can := l.mayStart()
 		l.mu.Lock()
 		l.core.Look(now.Sub(began), now)
 		l.core.Tick(now, can)
-		type call struct {
-			host, addr string
-			body       fleet.Direct
-		}
-		var calls []call
-		for host := range l.core.kick {
-			m := l.core.fleet.Machines[host]
-			if m == nil || m.Addr == "" || !m.Up {
-				delete(l.core.kick, host)
-				continue
-			}
-			if orders := m.Orders(); len(orders) > 0 {
-				calls = append(calls, call{host, m.Addr, fleet.Direct{Baton: l.term, Stint: m.Stint, Orders: orders}})
-			}
-			delete(l.core.kick, host)
-		}
+		calls := l.core.Calls()
 		l.mu.Unlock()
 		for _, c := range calls {
 			l.workers.Go(func() {
-				if _, r, err := l.workers.Orders(c.addr, c.body); err == nil {
+				if _, r, err := l.workers.Orders(c.Addr, c.Body); err == nil {
 					l.body(r)
 				}
 			})
@@ -361,6 +328,9 @@
 	l.mu.Unlock()
 }
 
+// valueBytes is what a value takes at the most.
+func (l *Leader) valueBytes() int { return int(l.cfg.Facts.State.Lowest().ValueKB * 1024) }
+
 // mine is the condition under which every write of a leader stands.
 func (l *Leader) mine() []ledger.Cond {
 	return []ledger.Cond{{Key: ledger.KeyLeader, Stamp: l.term}}
--- a/internal/dispatch/renting.go
+++ b/internal/lead/renting.go
@@ -1,4 +1,4 @@
-package dispatch
+package lead
 
 import (
 	"context"
@@ -63,7 +63,7 @@
 		if err == nil {
 			l.mu.Lock()
 			l.core.Listed(list, asked, time.Now())
-			if !l.core.settled {
+			if !l.core.Settled() {
 				every = l.set.ListLag / 2 // work waits to hear which machines are gone
 			}
 			l.mu.Unlock()
--- /dev/null
+++ b/internal/lead/views.go
@@ -0,0 +1,29 @@
+package lead
+
+import (
+	"time"
+
+	"drumpick/internal/dispatch"
+)
+
+// Machines lists up to limit machines by name, behind since, without their tasks; more
+// says that there are others behind them.
+func (l *Leader) Machines(since string, limit int) (list []dispatch.MachineView, more bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.ListMachines(since, limit, time.Now())
+}
+
+// Machine tells of one machine with all that is on it.
+func (l *Leader) Machine(name string) (dispatch.MachineView, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.DescribeMachine(name, time.Now())
+}
+
+// Progress tells how a job stands, for display.
+func (l *Leader) Progress(id string) (string, int, int, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.Progress(id)
+}
--- a/internal/dispatch/witness.go
+++ b/internal/lead/witness.go
@@ -1,4 +1,4 @@
-package dispatch
+package lead
 
 import (
 	"context"
@@ -62,25 +62,6 @@
 // swears is how often, in a firm span, such a record is stored, along with other writes.
 const swears = 3
 
-// takeOath gathers that record when it is due.
-func (l *Leader) takeOath(ws *[]write, fits func(ops, bytes int) bool, now time.Time) bool {
-	rec := frontier.Record{Term: l.term, Node: l.cfg.Node, AtMS: now.UnixMilli()}
-	l.contactMu.Lock()
-	due := l.word.Whole && now.Sub(l.swore) >= l.firm()/swears
-	if due {
-		l.swore = now // whether it is answered or not: it may be stored late
-	}
-	l.contactMu.Unlock()
-	if !due {
-		return true
-	}
-	if !fits(1, ledger.Size(rec)) {
-		return false
-	}
-	*ws = append(*ws, write{ops: []ledger.Op{{Write: ledger.KeyWhole, Value: rec}}, apply: func(uint64) {}})
-	return true
-}
-
 // reigns lists who has taken the leader's key since a revision.
 func (l *Leader) reigns(ctx context.Context, since uint64) ([]frontier.Reign, error) {
 	events, _, err := l.store.Watch(ctx, ledger.KeyLeader, since, 0)
@@ -98,93 +79,34 @@
 	return reigns, nil
 }
 
-// loadMarks reads the marks. One that cannot be read may stand for any task.
-func (l *Leader) loadMarks(ctx context.Context, core *Core, shelf *ledger.Shelf, whole bool) error {
-	if !l.set.Marks {
-		return nil
-	}
-	stored := map[string]int{}
-	if err := l.loadShelf(ctx, ledger.PrefixSent, shelf, func(id string, v json.RawMessage) error {
-		n, err := ledger.ParseMark(v)
-		if err != nil {
-			whole = false
-			return err
-		}
-		// Of two values that hold the same job one may be older.
-		stored[id] = max(stored[id], n)
-		return nil
-	}); err != nil {
-		return err
-	}
-	for id := range stored {
-		if core.jobs[id] == nil {
-			shelf.Remove(id)
-		}
-	}
-	core.LoadMarks(stored, whole)
-	return nil
-}
-
-// takeMarks gathers the marks that have changed, and says whether all fit.
-func (l *Leader) takeMarks(ws *[]write, fits func(ops, bytes int) bool) bool {
-	c := l.core
-	// Marks are raised ahead of need, so they wait for each other, unless a task waits.
-	if !l.needed && time.Since(l.marksAt) < l.set.Report/4 {
-		return true
-	}
-	l.needed, l.marksAt = false, time.Now()
-	for j := range c.marks.raised {
-		delete(c.marks.raised, j)
-		if !j.over {
-			v := ledger.Mark(j.mark.Want)
-			l.sent.Put(j.ID, v, len(v))
-		}
-	}
-	return l.takeShelf(l.sent, ws, fits, func(ids []string, entries map[string]json.RawMessage) (func(uint64), func([]string)) {
-		stored := func(uint64) {
-			for _, id := range ids {
-				l.sent.Thaw(id)
-				if n, err := ledger.ParseMark(entries[id]); err == nil && c.jobs[id] != nil {
-					c.jobs[id].mark.Keep(n)
-				}
-			}
-		}
-		return stored, func(ids []string) {
-			// Guards against a mark that rose while this value was on its way: what is
-			// stored next is what is asked for then, not what was asked for before.
-			for _, id := range ids {
-				if j := c.jobs[id]; j != nil {
-					c.marks.raised[j] = struct{}{}
-				}
-			}
-			l.needed = true
-		}
-	})
-}
-
-// dropMarks takes away the marks of jobs that are over.
-func (l *Leader) dropMarks() {
-	for _, id := range l.over {
-		l.sent.Remove(id)
-	}
-	l.over = l.over[:0]
-}
-
 // marked plans what a machine that is being answered is to start, and waits a moment for
 // marks that it lacks, with the lock held before and after. It says whether the machine's
 // report is still the last we know, and whether the plan stands as nothing was waited for.
 func (l *Leader) marked(m *fleet.Machine, now time.Time) (ok, stands bool) {
-	l.core.choose(m, now)
-	if _, failing, _ := l.store.Health(); failing || !l.core.lacksMark(m) {
+	l.core.Choose(m, now)
+	if _, failing, _ := l.store.Health(); failing || !l.core.LacksMark(m) {
 		return true, true
 	}
 	return l.await(m, func() bool {
-		lacks := l.core.lacksMark(m)
-		l.needed = l.needed || lacks
+		lacks := l.core.LacksMark(m)
+		if lacks {
+			l.rec.Need()
+		}
 		return !lacks
 	}), false
 }
 
+// oath returns that record when it is due.
+func (l *Leader) oath(now time.Time) *frontier.Record {
+	l.contactMu.Lock()
+	defer l.contactMu.Unlock()
+	if !l.word.Whole || now.Sub(l.swore) < l.firm()/swears {
+		return nil
+	}
+	l.swore = now // whether it is answered or not: it may be stored late
+	return &frontier.Record{Term: l.term, Node: l.cfg.Node, AtMS: now.UnixMilli()}
+}
+
 // led notes a revision at which the term held its key.
 func (l *Leader) led(stamp uint64) {
 	l.contactMu.Lock()
@@ -202,10 +124,7 @@
 	// in what is looked at next.
 	stored := !l.isLoose(time.Now())
 	l.mu.Lock()
-	stored = stored && l.core.marks.whole
-	for _, j := range l.core.jobs {
-		stored = stored && j.mark.Stored >= j.mark.Want
-	}
+	stored = stored && l.core.MarksStored()
 	l.mu.Unlock()
 	l.contactMu.Lock()
 	changed := stored && !l.word.Whole
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -40,7 +40,9 @@
 	Marks bool `json:"marks,omitempty"`
 }
 
-// Job is an accepted job, as users describe it plus when it was accepted.
+// Job is an accepted job, as users describe it plus when it was accepted. What users send
+// has a type of its own (package client): others build on that one, this one is for
+// controllers of several versions, and neither may change for the other's sake.
 type Job struct {
 	ID          string   `json:"uid" msgpack:"uid"`
 	Class       string   `json:"jobclass"`
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"drumpick/internal/config"
-	"drumpick/internal/dispatch"
 	"drumpick/internal/fleet"
 	"drumpick/internal/frontier"
 	"drumpick/internal/intake"
+	"drumpick/internal/lead"
 	"drumpick/internal/ledger"
 	"drumpick/internal/peer"
 	"drumpick/internal/tenure"
@@ -29,7 +29,7 @@
 	ten    *tenure.Tenure
 	server *intake.Server
 	heard  frontier.Witness
-	leader *dispatch.Leader
+	leader *lead.Leader
 	cancel context.CancelFunc
 	gone   chan struct{}
 }
@@ -141,7 +141,7 @@
 	go func() {
 		defer close(n.gone)
 		n.ten.Run(ctx, func(ctx context.Context, term uint64) {
-			l := dispatch.NewLeader(&cfg, n.client, cloud, n.ten, peers, c.world, &n.heard, n.server.Quiet, term)
+			l := lead.New(&cfg, n.client, cloud, n.ten, peers, c.world, &n.heard, n.server.Quiet, term)
 			c.mu.Lock()
 			n.leader = l
 			c.mu.Unlock()
