A new leader knows when leases that it never gave have ended

Need: beside a zone that is cut off, a takeover held up all older work below the marks until the zone's machines were given back, a lease after it; the machines, their images and, in a shorter cut, their work went with them.

Weighed: waiting by time alone (an earlier leader may go on renewing leases); asking every controller (one in the zone that is cut off answers none); built: only the holders of the last settled term and of those since can have renewed a lease, as workers drop what an earlier one answers. Each controller tells how long ago it last answered a worker as leader; when each holder has answered none for a lease, what unheard machines had is gone. They stay, and take work once they have shown the term.

Off unless [takeover] lapses is set. Stories: a leader that starts again beside a cut zone, one that stays away, earlier versions, and one that goes on answering inside the zone, with a second takeover or without; with unknown holders ignored a task runs twice there.

A machine unheard of since the takeover is no longer taken for one that boots in a dark zone: it would have held older work up for six leases.

--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -71,10 +71,7 @@
 	backApp := newApp(res.FDLimit/16, 5*time.Minute)
 	handlers := peer.Handlers{
 		Status: func(word frontier.Word) peer.Status {
-			s := peer.StatusOf(cfg.Node, store, server.Quiet())
-			heard := witness.Hear(word)
-			s.Heard = &heard
-			return s
+			return peer.StatusOf(cfg.Node, store, server.Quiet()).Witnessed(&witness, word, server.Renewed())
 		},
 		Progress: func(id string) peer.Progress {
 			l := leader.Load()
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -19,6 +19,7 @@
 	SpreadRefused float64 // pause after "no capacity", in startup times
 	Operators     bool    // operators are served beside users
 	Marks         bool    // the store says how far jobs were sent, for takeovers
+	Lapses        bool    // a takeover knows that leases have ended by who may have renewed them
 	Relay         bool    // controllers pass workers' reports on to the leader
 	Shed          bool    // a leader that falls behind leaves starts out
 	DarkZones     bool    // machines of a zone that is cut off are waited for
@@ -77,6 +78,7 @@
 	}{
 		{"operator", "enabled", &o.Operators},
 		{"takeover", "marks", &o.Marks},
+		{"takeover", "lapses", &o.Lapses},
 		{"relay", "enabled", &o.Relay},
 		{"overload", "shed", &o.Shed},
 		{"zones", "dark", &o.DarkZones},
--- a/internal/dispatch/dark.go
+++ b/internal/dispatch/dark.go
@@ -20,11 +20,7 @@
 		}
 		n := counts[m.Zone]
 		n.Machines++
-		heard := m.LastBody
-		if heard.Before(m.SilentSince) {
-			heard = m.SilentSince
-		}
-		if float64(now.Sub(heard)) > zones.Silence*float64(c.set.Report) {
+		if float64(now.Sub(m.LastHeard())) > zones.Silence*float64(c.set.Report) {
 			n.Silent++
 		}
 		counts[m.Zone] = n
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -381,6 +381,20 @@
 	}
 }
 
+// Lapse takes in that no lease which an earlier term gave is left, and says of how many
+// machines, unheard of, that ends the doubt.
+func (c *Core) Lapse(now time.Time) int {
+	n, gone := c.fleet.Lapse()
+	for _, a := range gone {
+		c.gone(a, now)
+	}
+	c.dirty = true
+	if !c.settled {
+		c.CheckSettled(now)
+	}
+	return n
+}
+
 // DropMachine forgets a machine that is surely gone.
 func (c *Core) DropMachine(host string, now time.Time) {
 	if m := c.fleet.Machines[host]; m != nil && c.spaces[m.Type] != nil {
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -428,14 +428,14 @@
 	switch {
 	case c.awaits(m, now):
 		return false
-	case m.Lost && !m.Dead && c.cuts.Waits(m.Zone, now.Sub(m.LastBody), startup, c.elsewhere(m, now), now):
+	case m.Lost && !m.Dead && c.cuts.Waits(m.Zone, now.Sub(m.LastHeard()), startup, c.elsewhere(m, now), now):
 		return false
-	case !m.Up && c.cuts.Dark(m.Zone):
+	case !m.Up && !m.Inherited && c.cuts.Dark(m.Zone):
 		return false // it may well be up
 	case m.Lost:
 		// Its tasks are gone. Where most machines are silent, the trouble is more
 		// likely ours than theirs, and they may yet be heard of.
-		return !c.mostSilent || now.Sub(m.LastBody) > 4*c.set.Lease
+		return !c.mostSilent || now.Sub(m.LastHeard()) > 4*c.set.Lease
 	case m.Inherited && !m.Settled:
 		// Unheard of since the takeover. Time alone does not settle it, as an
 		// older leader may be renewing its lease; its return does. All work of before
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -49,9 +49,9 @@
 	switch {
 	case m.Returning:
 		return MachineReturning
-	case m.Inherited && !m.Settled:
+	case m.Inherited && !m.Settled && !m.Lapsed:
 		return MachineUnsettled
-	case !m.Up:
+	case !m.Up && !m.Lapsed:
 		return MachineBooting
 	case m.Lost || now.Sub(m.LastBody) > 3*c.set.Report:
 		return MachineSilent
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -57,6 +57,7 @@
 	Settled            bool      // a body has shown our term
 	Recorded           bool      // the store says that it may hold tasks
 	Recording          bool      // that record is being written
+	Lapsed             bool      // unheard of under our term, and no lease of an earlier one is left
 	Inherited          bool      // was on record when this term began: an earlier one may have used it
 	Returning          bool      // given back; nothing may be sent any more
 	Draining           bool      // takes no new tasks
@@ -389,13 +390,40 @@
 	return gone
 }
 
+// Lapse notes that no lease which an earlier term gave is left: what machines that are
+// unheard of had is gone. It returns these machines and the attempts that are thereby gone.
+func (t *Table) Lapse() (machines int, gone []*Attempt) {
+	for _, m := range t.Sorted() {
+		if !m.Inherited || m.Settled || m.Lapsed {
+			continue
+		}
+		machines++
+		m.Lapsed, m.Lost = true, true
+		for _, a := range append([]*Attempt(nil), m.order...) {
+			m.Forget(a)
+			if a.State != Ended {
+				gone = append(gone, a)
+			}
+		}
+	}
+	return machines, gone
+}
+
+// LastHeard is when a machine was last heard under our term, or since when it is waited for.
+func (m *Machine) LastHeard() time.Time {
+	if m.LastBody.Before(m.SilentSince) {
+		return m.SilentSince
+	}
+	return m.LastBody
+}
+
 // Inherited counts the machines that earlier terms may have used, and those of
 // them still unheard of under ours.
 func (t *Table) Inherited() (all, unheard int) {
 	for _, m := range t.sorted {
 		if m.Inherited {
 			all++
-			if !m.Settled {
+			if !m.Settled && !m.Lapsed {
 				unheard++
 			}
 		}
@@ -407,7 +435,7 @@
 // unheard of under ours.
 func (t *Table) Unsettled() bool {
 	for _, m := range t.Machines {
-		if m.Inherited && !m.Settled {
+		if m.Inherited && !m.Settled && !m.Lapsed {
 			return true
 		}
 	}
--- a/internal/frontier/word.go
+++ b/internal/frontier/word.go
@@ -26,6 +26,10 @@
 	Seq   uint64 `msgpack:"seq"`   // rises with each change of mind in a term
 	Whole bool   `msgpack:"whole"` // every task that was ever sent, by any leader, is below a mark; else loose
 	Epoch uint64 `msgpack:"epoch"` // a revision of the store at which the term held the leader's key
+	// Settled says that every machine which may hold tasks has shown the term (lapse.go), and
+	// Node who had it. Versions that tell of marks alone leave both out.
+	Settled bool   `msgpack:"settled,omitempty"`
+	Node    string `msgpack:"node,omitempty"`
 }
 
 // Witness is a controller's memory of such words. It lasts as long as its process, and no
@@ -33,6 +37,7 @@
 type Witness struct {
 	mu    sync.Mutex
 	heard Word
+	last  Word   // of the latest term that was settled
 	bar   uint64 // words of earlier terms are not taken in
 }
 
@@ -42,6 +47,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.bar = max(w.bar, x.Term)
+	// That a term was settled stays true, however late it is told.
+	if x.Settled && (x.Term > w.last.Term || x.Term == w.last.Term && x.Epoch > w.last.Epoch) {
+		w.last = x
+	}
 	// Guards against words held up in the network, and against an earlier leader that
 	// asks to go loose after a later one has heard that it had not.
 	if x.Seq > 0 && x.Term >= w.bar && (x.Term > w.heard.Term || x.Term == w.heard.Term && x.Seq > w.heard.Seq) {
@@ -52,6 +61,13 @@
 	return w.heard
 }
 
+// Settled returns the last word that was heard of a settled term, if any.
+func (w *Witness) Settled() Word {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.last
+}
+
 // Heard says whether a witness that remembers w has taken in x, and nothing later.
 func (x Word) Heard(w Word) bool { return w.Term == x.Term && w.Seq == x.Seq }
 
@@ -70,6 +86,7 @@
 type Reign struct {
 	Term  uint64
 	Marks bool
+	Node  string
 }
 
 // Record is the same word in the store, for when all controllers have ended at once and
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"drumpick/internal/config"
@@ -59,7 +60,8 @@
 	local  func() Local  // nil when this process does not lead
 	reads  *rate.Limiter // what polls may take of the store's request rate
 
-	relays relays
+	relays  relays
+	renewed atomic.Value // time.Time: when a report was last answered here as leader, or the start
 
 	mu     sync.Mutex
 	types  []ledger.MachineType
@@ -82,6 +84,7 @@
 		over:  map[string]ledger.Over{}, known: map[string]bool{}, clear: map[string]time.Time{},
 		needs: map[string][]string{}, doomed: map[string]bool{}, told: time.Now(),
 	}
+	s.renewed.Store(time.Now())
 	s.relays.gather = peer.NewGather(cfg.Report()/windowShare, s.passOn)
 	return s
 }
@@ -113,6 +116,12 @@
 	return time.Since(s.told)
 }
 
+// Renewed is how long ago this controller may last have renewed a worker's lease, or this
+// process started.
+func (s *Server) Renewed() time.Duration {
+	return time.Since(s.renewed.Load().(time.Time))
+}
+
 // answer is what a user is told.
 type answer struct {
 	status int
@@ -570,6 +579,8 @@
 	if to := s.relays.route(s.cfg, l, r.Host, r.Zone, via, time.Now()); to != "" {
 		return asJSON(421, referral{Conductor: to})
 	}
+	// Noted before it is answered: a lease counts from when the report was sent.
+	s.renewed.Store(time.Now())
 	status, resp := l.Report(&r)
 	if status == 200 {
 		return asJSON(200, resp)
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -63,13 +63,15 @@
 	witness *frontier.Witness    // this controller's own
 	quiet   func() time.Duration // since a user was last told of a cancellation here
 
-	term   uint64
-	mu     sync.Mutex
-	core   *dispatch.Core
-	rec    *dispatch.Records
-	loaded chan struct{}
-	wake   chan struct{} // something is to be stored
-	logged chan struct{} // closed, and replaced, when machines have come on record
+	term    uint64
+	began   time.Time
+	holders []string // who may have renewed leases that this term has not; none: it is not known
+	mu      sync.Mutex
+	core    *dispatch.Core
+	rec     *dispatch.Records
+	loaded  chan struct{}
+	wake    chan struct{} // something is to be stored
+	logged  chan struct{} // closed, and replaced, when machines have come on record
 
 	contactMu sync.Mutex
 	contact   time.Time // until then, no cancellation can have been missed
@@ -85,9 +87,9 @@
 	set := dispatch.SettingsOf(cfg)
 	return &Leader{
 		cfg: cfg, set: set, store: store, cloud: cloud, tenure: ten, peers: peers, workers: workers, witness: witness, quiet: quiet,
-		term: term, core: dispatch.NewCore(set, term, time.Now()),
+		term: term, began: time.Now(), core: dispatch.NewCore(set, term, time.Now()),
 		loaded: make(chan struct{}), wake: make(chan struct{}, 1), logged: make(chan struct{}),
-		word: frontier.Word{Term: term, Epoch: term},
+		word: frontier.Word{Term: term, Epoch: term, Node: cfg.Node},
 	}
 }
 
@@ -117,7 +119,7 @@
 	var wg sync.WaitGroup
 	work := []func(context.Context){
 		func(ctx context.Context) { l.watch(ctx, epoch) },
-		l.flush, l.tick, l.fence, l.prices, l.lists, l.rents, l.returns, l.confirm, l.resolve,
+		l.flush, l.tick, l.fence, l.prices, l.lists, l.rents, l.returns, l.confirm, l.resolve, l.lapse,
 	}
 	if l.cfg.Options.Operators {
 		work = append(work, func(ctx context.Context) { l.watchDrains(ctx, epoch) })
--- a/internal/lead/witness.go
+++ b/internal/lead/witness.go
@@ -22,13 +22,17 @@
 		return false
 	}
 	ask := frontier.Word{Term: l.term}
-	words := []frontier.Word{l.witness.Hear(ask)}
+	words, last := []frontier.Word{l.witness.Hear(ask)}, l.witness.Settled()
 	answers, _ := l.peers.Tell(ctx, ask)
 	for _, a := range answers {
 		if a.Heard != nil {
 			words = append(words, *a.Heard)
 		}
+		if a.Settled != nil && (a.Settled.Term > last.Term || a.Settled.Term == last.Term && a.Settled.Epoch > last.Epoch) {
+			last = *a.Settled
+		}
 	}
+	l.learnHolders(ctx, last)
 	best, ok := frontier.Best(words)
 	if ok {
 		reigns, err := l.reigns(ctx, best.Epoch)
@@ -73,7 +77,7 @@
 		if e.Write == ledger.KeyLeader {
 			var rec ledger.Leader
 			_ = json.Unmarshal(e.Value, &rec) // what is unreadable keeps no marks
-			reigns = append(reigns, frontier.Reign{Term: e.Stamp, Marks: rec.Marks})
+			reigns = append(reigns, frontier.Reign{Term: e.Stamp, Marks: rec.Marks, Node: rec.Node})
 		}
 	}
 	return reigns, nil
@@ -125,12 +129,14 @@
 	stored := !l.isLoose(time.Now())
 	l.mu.Lock()
 	stored = stored && l.core.MarksStored()
+	settled := l.core.Settled()
 	l.mu.Unlock()
 	l.contactMu.Lock()
-	changed := stored && !l.word.Whole
-	if changed {
+	changed := stored && !l.word.Whole || settled && !l.word.Settled
+	if stored && !l.word.Whole {
 		l.word.Whole, l.word.Seq = true, l.word.Seq+1
 	}
+	l.word.Settled = settled
 	word := l.word
 	l.contactMu.Unlock()
 	if word.Seq > 0 && (changed || time.Since(l.told) >= l.set.Report) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,11 @@
 	// Heard is what it remembers of leaders' words about their marks. Versions without
 	// marks leave it out.
 	Heard *frontier.Word `msgpack:"heard,omitempty"`
+	// Settled is the latest settled term that it has heard of.
+	Settled *frontier.Word `msgpack:"settled,omitempty"`
+	// RenewedMS is since it may last have renewed a worker's lease, as leader, or since the
+	// start. Versions that do not tell leave it out.
+	RenewedMS *int64 `msgpack:"renewed_ms,omitempty"`
 }
 
 // StatusOf says how the store serves a controller; quiet is since a user was
@@ -44,6 +49,14 @@
 	return s
 }
 
+// Witnessed adds what a controller remembers of leaders' words, having heard one more, and
+// how long ago it may last have renewed a lease.
+func (s Status) Witnessed(w *frontier.Witness, word frontier.Word, renewed time.Duration) Status {
+	heard, settled, ms := w.Hear(word), w.Settled(), renewed.Milliseconds()
+	s.Heard, s.Settled, s.RenewedMS = &heard, &settled, &ms
+	return s
+}
+
 // Ask names a job.
 type Ask struct {
 	ID string `msgpack:"id"`
--- /dev/null
+++ b/internal/standin/lapse_test.go
@@ -0,0 +1,149 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"drumpick/internal/dispatch"
+	"drumpick/internal/lead"
+	"drumpick/internal/ledger"
+)
+
+// When a new leader may take the tasks of machines that it has not heard for gone.
+
+// beside plays a takeover beside a zone that stays cut off for long, with machines that have
+// no other zone to go to. It tells how many seconds after the leader's end all older work
+// went on, and how many machines of the zone were still there then; -1 if it did not.
+func beside(t *testing.T, prepare func(c *cluster), fall func(c *cluster, leader int, old *lead.Leader)) (after float64, left int) {
+	after = -1
+	playWith(t, func(c *cluster) {
+		c.cfg.Options.DarkZones = true
+		c.world.Capacity = 5
+		prepare(c)
+	}, func(c *cluster) {
+		c.world.RunFor = func(task string) time.Duration { return 3 * mixed(task) }
+		sleep(2)
+		c.submit(0, ledger.Job{ID: "j-1", Tasks: 160, EstimateS: 20})
+		sleep(40)
+		l := c.leading()
+		c.mu.Lock()
+		old := c.nodes[l].leader
+		c.mu.Unlock()
+		settled := settles(old)
+		fall(c, l, old)
+		for s := 0.0; s < 60; s += 0.5 {
+			sleep(0.5)
+			if now := c.after(old); now != nil && settles(now) && after < 0 {
+				after, left = s, len(inZone(c.world.Machines(), "b"))
+			}
+		}
+		if !settled {
+			t.Error("the first leader was not settled: the story shows nothing")
+		}
+		c.world.Cut("b", false)
+		c.world.Close("b", false)
+		c.mu.Lock()
+		clear(c.only)
+		clear(c.alone)
+		c.mu.Unlock()
+		for i := range 3 {
+			c.state.Refuse(strings.Fields(names)[i], false)
+			if c.node(i) == nil {
+				c.boot(i)
+			}
+		}
+		sleep(250)
+		c.wantDone(0, "j-1")
+	})
+	return after, left
+}
+
+// after returns a leader other than the one given; nil: there is none.
+func (c *cluster) after(old *lead.Leader) *lead.Leader {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.nodes {
+		if n != nil && n.leader != nil && n.leader != old {
+			return n.leader
+		}
+	}
+	return nil
+}
+
+// settles says whether a leader has no machine left to hear.
+func settles(l *lead.Leader) bool {
+	all, _ := l.Machines("", 1000)
+	for _, m := range all {
+		if m.State == dispatch.MachineUnsettled {
+			return false
+		}
+	}
+	return len(all) > 0
+}
+
+// The leader's process ends beside a cut zone and starts again: it answers nobody any more,
+// and a lease after its end the zone's tasks are gone, though none of its machines is.
+// Where it stays away it may be answering workers for all one knows: the machines are given
+// back.
+func TestLeasesEndBesideACutZone(t *testing.T) {
+	t.Parallel()
+	fall := func(back bool) func(*cluster, int, *lead.Leader) {
+		return func(c *cluster, l int, _ *lead.Leader) {
+			c.world.Cut("b", true)
+			sleep(1)
+			c.kill(l)
+			if back {
+				sleep(2)
+				c.boot(l)
+			}
+		}
+	}
+	after, left := beside(t, func(*cluster) {}, fall(true))
+	if after < 8 || after > 16 || left < 5 {
+		t.Errorf("all older work went on %v s after the leader's end, with %d machines of the zone left", after, left)
+	}
+	after, left = beside(t, func(*cluster) {}, fall(false))
+	if after < 12 || left > 2 {
+		t.Errorf("with the last leader's node away: %v s, %d machines left", after, left)
+	}
+	after, left = beside(t, func(c *cluster) { c.plain[0], c.plain[1], c.plain[2] = true, true, true }, fall(true))
+	if after < 12 || left > 2 {
+		t.Errorf("with an earlier version everywhere: %v s, %d machines left", after, left)
+	}
+}
+
+// The last leader is cut off together with a zone whose workers it goes on answering. Its
+// leases last for longer than those of a leader that has ended; no task of theirs starts
+// elsewhere before they are over, or the machines given back.
+func TestLeasesGoOnInACutZone(t *testing.T) {
+	t.Parallel()
+	for _, more := range []bool{false, true} {
+		t.Run(fmt.Sprint("another takeover ", more), func(t *testing.T) {
+			beside(t, func(*cluster) {}, func(c *cluster, l int, old *lead.Leader) {
+				c.state.Refuse(strings.Fields(names)[l], true)
+				c.mu.Lock()
+				c.alone[l], c.only["b"] = true, l
+				c.mu.Unlock()
+				c.world.Close("b", true)
+				if !more {
+					return
+				}
+				// A second leader follows, and ends; it has never been settled.
+				for range 100 {
+					if sleep(0.2); c.after(old) != nil {
+						break
+					}
+				}
+				for i := range 3 {
+					if i != l {
+						c.kill(i)
+						sleep(0.5)
+						c.boot(i)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -47,6 +47,7 @@
 	finished  map[string]map[string]bool    // tasks that have completed, by job
 	saved     map[string]time.Duration      // progress that is safe, by task or, of gangs, by job
 	cut       map[string]bool               // zones that nobody reaches
+	closed    map[string]bool               // zones that no direct commands reach
 	byJob     map[string]map[*shot]*Machine // tasks that have not ended
 	ran       []Ran
 	bills     []Bill
@@ -81,7 +82,7 @@
 	return &World{
 		ctx: ctx, bookings: map[string][]string{}, machines: map[string]*Machine{},
 		cancelled: map[string]time.Time{}, finished: map[string]map[string]bool{},
-		saved: map[string]time.Duration{}, cut: map[string]bool{},
+		saved: map[string]time.Duration{}, cut: map[string]bool{}, closed: map[string]bool{},
 		byJob: map[string]map[*shot]*Machine{},
 	}
 }
@@ -312,6 +313,13 @@
 	w.mu.Unlock()
 }
 
+// Close keeps direct commands from a zone's machines, or lets them pass again.
+func (w *World) Close(zone string, on bool) {
+	w.mu.Lock()
+	w.closed[zone] = on
+	w.mu.Unlock()
+}
+
 // Storm takes the power from all machines of a zone, and says how many there were.
 func (w *World) Storm(zone string) int {
 	n := 0
@@ -347,8 +355,9 @@
 	_ = link.Sleep(w.ctx, latency)
 	w.mu.Lock()
 	m := w.machines[addr]
+	closed := m != nil && w.closed[m.Zone]
 	w.mu.Unlock()
-	if m == nil {
+	if m == nil || closed {
 		return 0, nil, errors.New("no answer")
 	}
 	return m.Direct(d)
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -45,11 +45,12 @@
 	nodes []*node // nil while down
 	jobs  map[string]ledger.Job
 	start int
-	deaf  map[int]bool // nodes that workers cannot reach
-	paced bool         // leaders keep to their share of the write rate
-	plain map[int]bool // nodes that keep no marks and pass nothing on, as earlier versions
-	alone map[int]bool // nodes that no other can reach
-	came  [3]int       // reports that workers sent to each node
+	deaf  map[int]bool   // nodes that workers cannot reach
+	paced bool           // leaders keep to their share of the write rate
+	plain map[int]bool   // nodes that keep no marks and pass nothing on, as earlier versions
+	alone map[int]bool   // nodes that no other can reach
+	only  map[string]int // the one node that workers of a zone can reach
+	came  [3]int         // reports that workers sent to each node
 }
 
 const names = "n-0 n-1 n-2"
@@ -62,14 +63,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		cfg := &config.Config{Options: config.DefaultOptions()}
-		cfg.Options.Marks, cfg.Options.Relay = true, true
+		cfg.Options.Marks, cfg.Options.Relay, cfg.Options.Lapses = true, true, true
 		cfg.Facts = config.Facts{
 			Nodes: 3, Zones: []string{"a", "b"}, Teams: []config.Team{{Name: "team"}, {Name: "other"}},
 			Workers: config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 5, CancelS: 30},
 			State:   config.State{RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 16},
 			Cloud:   config.Cloud{RPS: 4, ListLagS: 3},
 		}
-		c := &cluster{t: t, ctx: ctx, state: NewState(), world: NewWorld(ctx), cfg: cfg, jobs: map[string]ledger.Job{}, nodes: make([]*node, 3), deaf: map[int]bool{}, plain: map[int]bool{}, alone: map[int]bool{}}
+		c := &cluster{t: t, ctx: ctx, state: NewState(), world: NewWorld(ctx), cfg: cfg, jobs: map[string]ledger.Job{}, nodes: make([]*node, 3), deaf: map[int]bool{}, plain: map[int]bool{}, alone: map[int]bool{}, only: map[string]int{}}
 		w := c.world
 		w.Every, w.Lease, w.Startup, w.Cancel = 2*time.Second, 12*time.Second, 20*time.Second, 30*time.Second
 		w.Capacity = 50
@@ -196,6 +197,14 @@
 	return c.deaf[i]
 }
 
+// hidden says whether workers of a zone cannot reach a node.
+func (c *cluster) hidden(i int, zone string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	only, ok := c.only[zone]
+	return ok && only != i
+}
+
 // apart says whether two nodes cannot reach each other.
 func (c *cluster) apart(i, k int) bool {
 	c.mu.Lock()
@@ -209,7 +218,7 @@
 	if n == nil {
 		return Refused, fleet.Response{}, ""
 	}
-	if c.cut(i) {
+	if c.cut(i) || c.hidden(i, r.Zone) {
 		return 0, fleet.Response{}, ""
 	}
 	c.mu.Lock()
@@ -239,13 +248,12 @@
 	var out []peer.Status
 	for i := range f.c.nodes {
 		n := f.c.node(i)
-		if i == f.me || n == nil {
+		if i == f.me || n == nil || f.c.apart(f.me, i) {
 			continue
 		}
 		s := peer.StatusOf(n.name, n.client, n.server.Quiet())
 		if !f.c.plain[i] {
-			heard := n.heard.Hear(word)
-			s.Heard = &heard
+			s = s.Witnessed(&n.heard, word, n.server.Renewed())
 		}
 		out = append(out, s)
 	}
