Marks that cannot be read as a whole leave all older work in doubt

Cause: found while the records moved: a value of marks with one unreadable entry made the marks worth nothing, one unreadable as a whole was passed over, as if its jobs had none above zero, and so as if nothing of theirs had ever been sent.

Change: either makes them worth nothing. Tests without the store for that, and for limits that fall while marks rise.

--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -87,7 +87,7 @@
 
 // LoadMark takes in a value of marks. One that cannot be read may stand for any task.
 func (r *Records) LoadMark(row ledger.Row) {
-	load(ledger.PrefixSent, r.sent, row, func(id string, v json.RawMessage) error {
+	readable := load(ledger.PrefixSent, r.sent, row, func(id string, v json.RawMessage) error {
 		n, err := ledger.ParseMark(v)
 		if err != nil {
 			r.unmarked = true
@@ -97,6 +97,7 @@
 		r.marks[id] = max(r.marks[id], n)
 		return nil
 	})
+	r.unmarked = r.unmarked || !readable
 }
 
 // Loaded ends the reading. Whole says that earlier leaders kept to the marks.
@@ -117,12 +118,12 @@
 	r.core.LoadMarks(r.marks, whole && !r.unmarked)
 }
 
-// load takes in a value of a shelf.
-func load(prefix string, s *ledger.Shelf, row ledger.Row, each func(id string, v json.RawMessage) error) {
+// load takes in a value of a shelf, and says whether it is readable as a whole.
+func load(prefix string, s *ledger.Shelf, row ledger.Row, each func(id string, v json.RawMessage) error) bool {
 	entries, err := ledger.Entries(prefix, row)
 	if err != nil {
 		slog.Error("unreadable record", "key", row.Key, "err", err)
-		return
+		return false
 	}
 	s.Load(row.Key, entries, len(row.Value))
 	for id, v := range entries {
@@ -130,6 +131,7 @@
 			slog.Error("unreadable record", "key", row.Key, "id", id, "err", err)
 		}
 	}
+	return true
 }
 
 // Need says that a task waits for its mark.
--- /dev/null
+++ b/internal/dispatch/records_test.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"drumpick/internal/config"
+	"drumpick/internal/frontier"
+	"drumpick/internal/ledger"
+)
+
+func recorded(term uint64, valueKB float64) (*Core, *Records, time.Time) {
+	cfg := &config.Config{Options: config.DefaultOptions()}
+	cfg.Facts.Workers = config.Workers{ReportS: 2, LeaseS: 12, CancelS: 30}
+	cfg.Facts.State.ValueKB = valueKB
+	cfg.Options.Marks = true
+	now := time.Unix(1_000_000, 0)
+	c := NewCore(SettingsOf(cfg), term, now)
+	return c, NewRecords(c, valueKB, 16), now
+}
+
+func noOath(time.Time) *frontier.Record { return nil }
+
+// The limits fall while marks rise: a value of marks is refused as too large, and what is
+// stored in its place is what is asked for by then. Guards against a mark that is put back
+// as it was, and a job whose tasks wait for the one that was asked for.
+func TestMarksRefused(t *testing.T) {
+	c, r, now := recorded(1, 8)
+	r.Loaded(false)
+	c.CheckSettled(now)
+	const jobs = 200
+	for n := range jobs {
+		c.AddJob(ledger.Job{ID: fmt.Sprint("j-", n), Team: "team", Shape: ledger.ShapeBatch, Priority: ledger.PrioNormal, Tasks: 5000, CPUs: 1}, 10, now, now)
+	}
+	even := func(id string) bool { return strings.Contains("02468", id[len(id)-1:]) }
+	for _, j := range c.jobs {
+		c.raise(j, 1000)
+	}
+	stored := map[string]map[string]json.RawMessage{}
+	refused := 0
+	for round := range 6 {
+		now = now.Add(time.Second)
+		for _, w := range r.Writes(now, noOath) {
+			key := w.Ops[0].Write
+			if !strings.HasPrefix(key, ledger.PrefixSent) {
+				continue
+			}
+			entries := w.Ops[0].Value.(map[string]json.RawMessage)
+			if ledger.Size(entries) > 2<<10 {
+				for id, j := range c.jobs {
+					if even(id) {
+						c.raise(j, 3000) // while it was on its way
+					}
+				}
+				w.Refused()
+				refused++
+				continue
+			}
+			stored[key] = entries
+			w.Apply(uint64(20 + round))
+		}
+	}
+	if refused == 0 {
+		t.Fatal("no value was refused: the story shows nothing")
+	}
+	for id, j := range c.jobs {
+		if !j.mark.Covers(1000) || even(id) && !j.mark.Covers(3000) {
+			t.Errorf("%s: its mark is %+v, and tasks wait", id, j.mark)
+		}
+		most := 0
+		for _, entries := range stored {
+			if v, ok := entries[id]; ok {
+				n, err := ledger.ParseMark(v)
+				if err != nil {
+					t.Fatal(err)
+				}
+				most = max(most, n)
+			}
+		}
+		if most != j.mark.Stored {
+			t.Errorf("%s: the store has %d, %d is taken to be stored", id, most, j.mark.Stored)
+		}
+	}
+}
+
+// A value of marks that cannot be read may have held any job's: all older work is in doubt.
+func TestMarksUnreadable(t *testing.T) {
+	for value, whole := range map[string]bool{
+		`{"j-1":"000004"}`: true, `{"j-1":"-2"}`: false, `{"j-1":7}`: false, `"torn`: false, `[]`: false,
+	} {
+		c, r, now := recorded(30, 8)
+		c.AddJob(ledger.Job{ID: "j-1", Team: "team", Shape: ledger.ShapeBatch, Priority: ledger.PrioNormal, Tasks: 10, CPUs: 1}, 10, now, now)
+		c.LoadHost("m-1", ledger.Host{Addr: "m-1:1"}, now)
+		r.LoadMark(ledger.Row{Key: ledger.PrefixSent + "1-1", Value: json.RawMessage(value)})
+		r.Loaded(true)
+		if n := c.jobs["j-1"].doubts(); (n < 10) != whole {
+			t.Errorf("marks %s: %d tasks of 10 are in doubt", value, n)
+		}
+	}
+}
