A machine that comes back after its lease is known to have ended is not given back

What makes a machine unheard of stood in five places; the one that gives unheard machines back had not learned that a lease can be known to have ended. A machine back from a zone that was cut off reports once before it shows the new term, and was given back if that was looked at in between.

--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -29,7 +29,7 @@
 func (c *Core) Unheard() []Unheard {
 	var list []Unheard
 	for _, m := range c.fleet.Sorted() {
-		if m.Inherited && !m.Settled && !m.Lapsed && m.Addr != "" {
+		if m.Unheard() && m.Addr != "" {
 			list = append(list, Unheard{m.Addr, max(m.Stint, 1)})
 		}
 	}
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -436,7 +436,7 @@
 		// Its tasks are gone. Where most machines are silent, the trouble is more
 		// likely ours than theirs, and they may yet be heard of.
 		return !c.mostSilent || now.Sub(m.LastHeard()) > 4*c.set.Lease
-	case m.Inherited && !m.Settled:
+	case m.Unheard():
 		// Unheard of since the takeover. Time alone does not settle it, as an
 		// older leader may be renewing its lease; its return does. All work of before
 		// stands still until then: the last few that neither report nor answer are not
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -162,6 +162,8 @@
 	case "loose":
 		c.marks.loose = true
 		return nil
+	case "lapse":
+		return []string{fmt.Sprintf("unheard machines: %d, settled: %v", c.Lapse(s.now), c.settled)}
 	case "settle":
 		c.CheckSettled(s.now)
 		return []string{fmt.Sprintf("settled: %v", c.settled)}
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -49,7 +49,7 @@
 	switch {
 	case m.Returning:
 		return MachineReturning
-	case m.Inherited && !m.Settled && !m.Lapsed:
+	case m.Unheard():
 		return MachineUnsettled
 	case !m.Up && !m.Lapsed:
 		return MachineBooting
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -394,7 +394,7 @@
 // unheard of had is gone. It returns these machines and the attempts that are thereby gone.
 func (t *Table) Lapse() (machines int, gone []*Attempt) {
 	for _, m := range t.Sorted() {
-		if !m.Inherited || m.Settled || m.Lapsed {
+		if !m.Unheard() {
 			continue
 		}
 		machines++
@@ -409,6 +409,10 @@
 	return machines, gone
 }
 
+// Unheard says whether the machine may still hold what an earlier term sent: it was on record
+// when ours began, has not shown ours, and a lease of before may be left.
+func (m *Machine) Unheard() bool { return m.Inherited && !m.Settled && !m.Lapsed }
+
 // LastHeard is when a machine was last heard under our term, or since when it is waited for.
 func (m *Machine) LastHeard() time.Time {
 	if m.LastBody.Before(m.SilentSince) {
@@ -423,7 +427,7 @@
 	for _, m := range t.sorted {
 		if m.Inherited {
 			all++
-			if !m.Settled && !m.Lapsed {
+			if m.Unheard() {
 				unheard++
 			}
 		}
@@ -435,7 +439,7 @@
 // unheard of under ours.
 func (t *Table) Unsettled() bool {
 	for _, m := range t.Machines {
-		if m.Inherited && !m.Settled && !m.Lapsed {
+		if m.Unheard() {
 			return true
 		}
 	}
