Who held the key is read after a takeover, not in it; smaller twins made one

From a last read of the whole change, without a change of decisions but for the one named: - The store's log of who took the key was read within the takeover for something that is of use a lease later, besides the like read for marks; it is now read by the one who needs it. - The controllers open to a worker were listed and sorted twice for each report passed on. Whether they are its home is now told with the list instead of guessed from the zones of its first and last: with six controllers and more a guess could be wrong, and a worker sent on where nothing was gained. - What makes a word later than another stood three times, what makes a machine quiet twice.

--- a/internal/dispatch/dark.go
+++ b/internal/dispatch/dark.go
@@ -8,6 +8,11 @@
 	"drumpick/internal/zones"
 )
 
+// quiet says whether a machine has been silent for so long that its zone may be the cause.
+func (c *Core) quiet(m *fleet.Machine, now time.Time) bool {
+	return float64(now.Sub(m.LastHeard())) > zones.Silence*float64(c.set.Report)
+}
+
 // watchZones looks at which zones are cut off.
 func (c *Core) watchZones(now time.Time) {
 	if !c.set.DarkZones {
@@ -20,7 +25,7 @@
 		}
 		n := counts[m.Zone]
 		n.Machines++
-		if float64(now.Sub(m.LastHeard())) > zones.Silence*float64(c.set.Report) {
+		if c.quiet(m, now) {
 			n.Silent++
 		}
 		counts[m.Zone] = n
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -12,7 +12,6 @@
 	"drumpick/internal/means"
 	"drumpick/internal/packing"
 	"drumpick/internal/rental"
-	"drumpick/internal/zones"
 )
 
 type offer struct {
@@ -363,7 +362,7 @@
 			if now.Sub(m.LastBody) > 3*c.set.Report {
 				silent++
 			}
-			if float64(now.Sub(m.LastBody)) > zones.Silence*float64(c.set.Report) {
+			if c.quiet(m, now) {
 				quiet++
 			}
 		}
--- a/internal/frontier/lapse.go
+++ b/internal/frontier/lapse.go
@@ -33,7 +33,10 @@
 		}
 	}
 	slices.Sort(nodes)
-	return slices.Compact(nodes), ok // a log without our own term is not the log we asked for
+	if !ok {
+		return nil, false // a log without our own term is not the log we asked for
+	}
+	return slices.Compact(nodes), true
 }
 
 // Lapsed says whether each holder has renewed no lease for as long as a lease lasts, by how
--- a/internal/frontier/word.go
+++ b/internal/frontier/word.go
@@ -48,7 +48,7 @@
 	defer w.mu.Unlock()
 	w.bar = max(w.bar, x.Term)
 	// That a term was settled stays true, however late it is told.
-	if x.Settled && (x.Term > w.last.Term || x.Term == w.last.Term && x.Epoch > w.last.Epoch) {
+	if x.Settled && x.After(w.last) {
 		w.last = x
 	}
 	// Guards against words held up in the network, and against an earlier leader that
@@ -68,6 +68,10 @@
 	return w.last
 }
 
+// After says whether a word is of a later term than another one, or of a later revision in
+// the same.
+func (x Word) After(w Word) bool { return x.Term > w.Term || x.Term == w.Term && x.Epoch > w.Epoch }
+
 // Heard says whether a witness that remembers w has taken in x, and nothing later.
 func (x Word) Heard(w Word) bool { return w.Term == x.Term && w.Seq == x.Seq }
 
@@ -75,7 +79,7 @@
 // ok is false where there is none.
 func Best(words []Word) (best Word, ok bool) {
 	for _, w := range words {
-		if w.Whole && (w.Term > best.Term || w.Term == best.Term && w.Epoch > best.Epoch) {
+		if w.Whole && w.After(best) {
 			best, ok = w, true
 		}
 	}
--- a/internal/lead/lapse.go
+++ b/internal/lead/lapse.go
@@ -10,27 +10,26 @@
 	"drumpick/internal/link"
 )
 
-// learnHolders finds out, at the takeover, who may have renewed leases that this term has
-// not, from the last word of a settled term.
-func (l *Leader) learnHolders(ctx context.Context, last frontier.Word) {
-	l.holders = nil
-	if !last.Settled || !l.cfg.Options.Lapses {
-		return
+// whoHeld lists who may have renewed leases that this term has not; none: it is not known.
+func (l *Leader) whoHeld(ctx context.Context) []string {
+	if !l.last.Settled || !l.cfg.Options.Lapses {
+		return nil
 	}
-	reigns, err := l.reigns(ctx, last.Epoch)
+	reigns, err := l.reigns(ctx, l.last.Epoch)
 	if err != nil {
-		slog.Debug("who held the key is not known", "term", l.term, "since", last.Epoch, "err", err)
-		return
-	}
-	if nodes, ok := frontier.Holders(last, reigns, l.term); ok {
-		l.holders = nodes
+		slog.Debug("who held the key is not known", "term", l.term, "since", l.last.Epoch, "err", err)
+		return nil
 	}
+	nodes, _ := frontier.Holders(l.last, reigns, l.term)
+	return nodes
 }
 
 // lapse waits, as long as machines are unheard of since the takeover, for the leases that
-// earlier terms gave to have ended: then what these machines had is gone.
+// earlier terms gave to have ended: then what these machines had is gone. It asks the store
+// only once the takeover is done, which does not wait for it.
 func (l *Leader) lapse(ctx context.Context) {
-	if len(l.holders) == 0 {
+	holders := l.whoHeld(ctx)
+	if len(holders) == 0 {
 		return
 	}
 	// Two clocks are in it: the worker's, for its lease, and the holder's, for how long it
@@ -43,24 +42,24 @@
 		if settled {
 			return
 		}
-		// What this process answered in an earlier term of its own, it did before this one.
-		since := map[string]time.Duration{l.cfg.Node: time.Since(l.began)}
 		if time.Since(l.began) < lease/2 {
 			continue // the last leader cannot have been silent for so long
 		}
+		// What this process answered in an earlier term of its own, it did before this one.
+		since := map[string]time.Duration{l.cfg.Node: time.Since(l.began)}
 		answers, _ := l.peers.Tell(ctx, frontier.Word{})
 		for _, a := range answers {
 			if a.RenewedMS != nil {
 				since[a.Node] = time.Duration(*a.RenewedMS) * time.Millisecond
 			}
 		}
-		if !frontier.Lapsed(l.holders, since, lease) {
+		if !frontier.Lapsed(holders, since, lease) {
 			continue
 		}
 		l.mu.Lock()
 		n := l.core.Lapse(time.Now())
 		l.mu.Unlock()
-		slog.Info("leases that earlier terms gave have ended", "term", l.term, "machines", n, "holders", l.holders)
+		slog.Info("leases that earlier terms gave have ended", "term", l.term, "machines", n, "holders", holders)
 		l.poke()
 		return
 	}
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -63,15 +63,15 @@
 	witness *frontier.Witness    // this controller's own
 	quiet   func() time.Duration // since a user was last told of a cancellation here
 
-	term    uint64
-	began   time.Time
-	holders []string // who may have renewed leases that this term has not; none: it is not known
-	mu      sync.Mutex
-	core    *dispatch.Core
-	rec     *dispatch.Records
-	loaded  chan struct{}
-	wake    chan struct{} // something is to be stored
-	logged  chan struct{} // closed, and replaced, when machines have come on record
+	term   uint64
+	began  time.Time
+	last   frontier.Word // of the latest settled term, as heard at the takeover
+	mu     sync.Mutex
+	core   *dispatch.Core
+	rec    *dispatch.Records
+	loaded chan struct{}
+	wake   chan struct{} // something is to be stored
+	logged chan struct{} // closed, and replaced, when machines have come on record
 
 	contactMu sync.Mutex
 	contact   time.Time // until then, no cancellation can have been missed
--- a/internal/lead/witness.go
+++ b/internal/lead/witness.go
@@ -28,11 +28,11 @@
 		if a.Heard != nil {
 			words = append(words, *a.Heard)
 		}
-		if a.Settled != nil && (a.Settled.Term > last.Term || a.Settled.Term == last.Term && a.Settled.Epoch > last.Epoch) {
+		if a.Settled != nil && a.Settled.After(last) {
 			last = *a.Settled
 		}
 	}
-	l.learnHolders(ctx, last)
+	l.last = last
 	best, ok := frontier.Best(words)
 	if ok {
 		reigns, err := l.reigns(ctx, best.Epoch)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -105,7 +105,8 @@
 			h.barred, h.until = was, now.Add(doubtLeases*r.lease)
 			n.lost++
 		}
-		to = r.least(h, now)
+		names, _ := r.open(h, now)
+		to = r.least(names)
 	}
 	if to != "" {
 		r.move(h, to)
@@ -131,11 +132,11 @@
 }
 
 // open lists the controllers that a worker may be sent to, by name: those in its own zone,
-// if they are and hold no more than mostOwn times their share of all workers. Guards
-// against a zone that is cut off and, with the controllers in it, silences workers of
+// which is its home, if they are and hold no more than mostOwn times their share of all
+// workers. Guards against a zone that is cut off and, with the controllers in it, silences workers of
 // others, all at once, until these have found their way.
-func (r *Router) open(h *route, now time.Time) []string {
-	var names, own []string
+func (r *Router) open(h *route, now time.Time) (names []string, home bool) {
+	var own []string
 	load := 0
 	for name, n := range r.nodes {
 		if now.Sub(n.heard) <= fresh*r.every && n.lost <= fewLost && !(name == h.barred && now.Before(h.until)) {
@@ -150,15 +151,15 @@
 		load++ // with this one; one that is there stays
 	}
 	if len(own) > 0 && load*len(names) <= mostOwn*len(own)*len(r.hosts) {
-		names = own
+		names, home = own, true
 	}
 	slices.Sort(names)
-	return names
+	return names, home
 }
 
-// least picks the one of them with the fewest workers, those on their way included.
-func (r *Router) least(h *route, now time.Time) string {
-	names := r.open(h, now)
+// least picks the one of them with the fewest workers, those on their way included; "" if
+// there is none.
+func (r *Router) least(names []string) string {
 	if len(names) == 0 {
 		return ""
 	}
@@ -173,14 +174,13 @@
 // even sends a worker from a controller that has far more than its share to the one with
 // the fewest, a few at a time: after one has been away, the others hold all.
 func (r *Router) even(h *route, now time.Time) string {
-	names := r.open(h, now)
 	if float64(r.moved) >= movedShare*float64(len(r.hosts)) {
 		return ""
 	}
-	// One that its zone's own controllers can take comes home to them.
-	if n := len(names); n > 0 && h.zone != "" && r.nodes[names[0]].zone == h.zone && r.nodes[names[n-1]].zone == h.zone && r.nodes[h.via].zone != h.zone {
+	names, home := r.open(h, now)
+	if home && r.nodes[h.via].zone != h.zone {
 		r.moved++
-		return r.least(h, now)
+		return r.least(names)
 	}
 	if len(names) < 2 {
 		return ""
@@ -190,7 +190,7 @@
 		sum += r.nodes[name].load
 	}
 	share := float64(sum) / float64(len(names))
-	to := r.least(h, now)
+	to := r.least(names)
 	// Guards against a few workers that are sent round and round: a move has to help.
 	if float64(r.nodes[h.via].load) <= share*uneven || r.nodes[h.via].load < r.nodes[to].load+2 {
 		return ""
