Guarantees: owed work that can begin in time goes first, and cheap machines spare ordinary ones

A line at debug now says for each job what it waited for (heard, room, report, fetch, the rest of its gang): nearly always room. While 12 gangs waited, tasks that may use cheap machines held up to 26 ordinary GPU machines, 17 cheap ones stood empty, and a team that is guaranteed CPUs but no GPUs had no guarantee at all once one of its jobs used a GPU.

Change, switched on by [guarantees] enabled: package guarantee. A guarantee speaks of the kinds it names; owed work that can still begin in time goes before the rest; what may use cheap machines leaves ordinary ones to a guaranteed team's work that lacks them, while it has time to wait, and cheap machines are rented and held for it. Without a guarantee in the settings nothing changes.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -65,6 +65,8 @@
 const (
 	KindWait     = "wait"
 	KindDeadline = "deadline"
+	// KindGuarantee is for work within a guarantee, of whatever class.
+	KindGuarantee = "guarantee"
 )
 
 // Objective is what users expect of a class of jobs.
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -22,6 +22,7 @@
 	Lapses        bool    // a takeover knows that leases have ended by who may have renewed them
 	Relay         bool    // controllers pass workers' reports on to the leader
 	Shed          bool    // a leader that falls behind leaves starts out
+	Guarantees    bool    // work within a guarantee that can begin in time goes first, and finds room
 	DarkZones     bool    // machines of a zone that is cut off are waited for
 }
 
@@ -82,6 +83,7 @@
 		{"relay", "enabled", &o.Relay},
 		{"overload", "shed", &o.Shed},
 		{"zones", "dark", &o.DarkZones},
+		{"guarantees", "enabled", &o.Guarantees},
 	} {
 		known[e.section+"."+e.key] = true
 		if !f.Section(e.section).HasKey(e.key) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -14,6 +14,7 @@
 	"drumpick/internal/fleet"
 	"drumpick/internal/forecast"
 	"drumpick/internal/frontier"
+	"drumpick/internal/guarantee"
 	"drumpick/internal/ledger"
 	"drumpick/internal/means"
 	"drumpick/internal/packing"
@@ -31,9 +32,11 @@
 	Objectives                     []config.Objective
 	Teams                          map[string]config.Team
 	Forecast                       forecast.Params
-	Marks                          bool // nothing is sent that the store has not marked
-	Shed                           bool // starts are left out when the leader falls behind
-	DarkZones                      bool // machines of a zone that is cut off are waited for
+	Marks                          bool          // nothing is sent that the store has not marked
+	Shed                           bool          // starts are left out when the leader falls behind
+	Guarantees                     bool          // work within a guarantee that can begin in time goes first, and finds room
+	Promise                        time.Duration // within which work that is guaranteed is to begin; 0: none is stated
+	DarkZones                      bool          // machines of a zone that is cut off are waited for
 }
 
 // SettingsOf derives them from the configuration.
@@ -51,13 +54,18 @@
 		ChunkTasks:   ledger.ChunkTasks(c.Facts.State.ValueKB),
 		PartTasks:    ledger.PartTasks(ledger.ChunkTasks(c.Facts.State.ValueKB), c.Facts.State.Lowest().ValueKB),
 		IdleStartups: c.Options.IdleStartups, RefusedStartups: c.Options.SpreadRefused,
-		Zones: c.Facts.Zones, Objectives: c.Facts.Objectives, Marks: c.Options.Marks, Shed: c.Options.Shed, DarkZones: c.Options.DarkZones,
+		Zones: c.Facts.Zones, Objectives: c.Facts.Objectives, Marks: c.Options.Marks, Shed: c.Options.Shed, DarkZones: c.Options.DarkZones, Guarantees: c.Options.Guarantees,
 		Teams: map[string]config.Team{},
 		Forecast: forecast.Params{
 			Up: c.Options.AlphaUp, Down: c.Options.AlphaDown,
 			Window: c.Options.Window, Percentile: c.Options.Percentile,
 		},
 	}
+	for _, o := range c.Facts.Objectives {
+		if within := config.Seconds(o.WithinS); o.Kind == config.KindGuarantee && within > 0 && (s.Promise == 0 || within < s.Promise) {
+			s.Promise = within
+		}
+	}
 	for _, t := range c.Facts.Teams {
 		s.Teams[t.Name] = t
 	}
@@ -101,16 +109,19 @@
 
 	gangTry    uint64
 	gangBroken bool
+	began      stages                    // how far its first start has come
 	claims     []claim                   // room on machines that is its own
 	claimAfter time.Time                 // claims no room before
 	stopped    map[fleet.TaskID]struct{} // tasks that were stopped for its sake
 	moved      map[int]struct{}          // tasks that were moved to fill or empty a bin
 	leaving    int                       // tasks that are to leave their machines and find no others
 	staying    map[string]int            // where a job bound to zones has its others then; else nil
-	guaranteed bool
-	targets    []float64 // when it should be complete, in seconds from its base
-	rank       int       // of its priority, the highest being 0; odd ones are late
-	turn       time.Time // its place among jobs of its priority
+	guaranteed bool                      // it is owed its room by its team's guarantee
+	holds      bool                      // it may have others stopped for that, and is stopped for nobody
+	inTime     bool                      // it can still begin in time
+	targets    []float64                 // when it should be complete, in seconds from its base
+	rank       int                       // of its priority, the highest being 0; odd ones are late
+	turn       time.Time                 // its place among jobs of its priority
 }
 
 // plain says whether where a task may go depends on nothing but its size, zone and
@@ -197,15 +208,16 @@
 	closed      []string         // jobs whose finished tasks need no record any more
 	dropped     []string         // machines that need no record any more
 	marks       marks
-	means       *means.Governor // how far the leader falls behind
-	late        time.Duration   // by how much anything waited since the last look
-	cuts        *zones.Watch    // which zones are cut off
-	keepers     []*Job          // jobs for whose sake machines are kept
-	keeper      *Job            // the one of them that is served last, for the placing under way
-	owners      []*Job          // jobs that have claims
-	drains      []*drainWork    // what operators asked for, by id
-	lastDrain   time.Time       // when it was last looked at
-	draining    bool            // any of it holds now
+	means       *means.Governor   // how far the leader falls behind
+	late        time.Duration     // by how much anything waited since the last look
+	cuts        *zones.Watch      // which zones are cut off
+	keepers     []*Job            // jobs for whose sake machines are kept
+	keeper      *Job              // the one of them that is served last, for the placing under way
+	scarce      *guarantee.Scarce // which ordinary machines are too few for those who may use no others
+	owners      []*Job            // jobs that have claims
+	drains      []*drainWork      // what operators asked for, by id
+	lastDrain   time.Time         // when it was last looked at
+	draining    bool              // any of it holds now
 
 	// Kick lists machines that should hear orders at once, not at their next report.
 	kick map[string]bool
@@ -217,7 +229,7 @@
 		set: set, term: term, jobs: map[string]*Job{}, chain: chain.New(), alike: map[likeness]int{}, types: map[string]ledger.MachineType{},
 		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{}, marks: newMarks(),
 		means: means.New(set.Report, set.Report/TickShare), cuts: zones.New(set.Lease),
-		rent: newRentState(), spaces: map[string]*packing.Space{},
+		scarce: guarantee.NewScarce(), rent: newRentState(), spaces: map[string]*packing.Space{},
 	}
 }
 
@@ -296,6 +308,7 @@
 	age := max(wall.Sub(time.UnixMilli(rec.AcceptedMS)), 0)
 	j.Accepted = now.Add(-age)
 	j.base, j.since = j.Accepted, stamp
+	j.began.heard = now
 	if len(c.alike) > 4*len(c.jobs)+64 {
 		// Most numbers are of jobs long over.
 		clear(c.alike)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -49,6 +49,7 @@
 		if j := c.jobOf(a); j != nil {
 			c.useImage(m, j)
 			m.Bin.Mark(j.ready, true)
+			c.running(j, a, now)
 		}
 	}
 	for _, a := range out.Ended {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -33,7 +34,7 @@
 			}
 			return x.ID < y.ID
 		})
-		c.guarantees()
+		c.guarantees(now)
 		c.turns(now)
 		sort.SliceStable(c.sorted, func(a, b int) bool { return before(c.sorted[a], c.sorted[b]) })
 		c.inOrder()
@@ -43,15 +44,32 @@
 
 // before says whether a job is served before another.
 func before(x, y *Job) bool {
-	if x.guaranteed != y.guaranteed {
-		return x.guaranteed
-	}
-	if x.rank != y.rank {
-		return x.rank < y.rank
+	if d := precedence(x, y); d != 0 {
+		return d < 0
 	}
 	return x.turn.Before(y.turn)
 }
 
+// precedence orders jobs by what goes before any turn: what is owed its room, of this what
+// can still begin in time, and rank.
+func precedence(x, y *Job) int {
+	switch {
+	case x.guaranteed != y.guaranteed:
+		return first(x.guaranteed)
+	case x.inTime != y.inTime:
+		return first(x.inTime)
+	}
+	return cmp.Compare(x.rank, y.rank)
+}
+
+// first is the order of two of whom one goes first.
+func first(is bool) int {
+	if is {
+		return -1
+	}
+	return 1
+}
+
 // turn is a job's place in the order of placing: on machines that have its image,
 // or on any.
 type turn struct {
@@ -75,11 +93,8 @@
 	}
 	sort.SliceStable(c.order, func(a, b int) bool {
 		x, y := c.order[a], c.order[b]
-		if x.j.guaranteed != y.j.guaranteed {
-			return x.j.guaranteed
-		}
-		if x.j.rank != y.j.rank {
-			return x.j.rank < y.j.rank
+		if d := precedence(x.j, y.j); d != 0 {
+			return d < 0
 		}
 		return x.at.Before(y.at)
 	})
@@ -186,20 +201,3 @@
 	}
 	return share
 }
-
-// guarantees marks the jobs that fit, together with their team's earlier
-// unfinished ones, into what their team is guaranteed.
-func (c *Core) guarantees() {
-	sum := map[string]packing.Vec{}
-	for _, j := range c.sorted {
-		j.guaranteed = false
-		t, ok := c.set.Teams[j.Team]
-		if !ok || t.CPUs == 0 && t.GPUs == 0 {
-			continue
-		}
-		n := float64(j.Tasks - j.nDone)
-		s := sum[j.Team].Add(packing.Vec{CPU: n * j.CPUs, GPU: n * j.GPUs})
-		sum[j.Team] = s
-		j.guaranteed = s.CPU <= t.CPUs+1e-9 && s.GPU <= t.GPUs+1e-9
-	}
-}
--- /dev/null
+++ b/internal/dispatch/owed.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"time"
+
+	"drumpick/internal/fleet"
+	"drumpick/internal/guarantee"
+	"drumpick/internal/ledger"
+	"drumpick/internal/packing"
+)
+
+// guarantees marks the jobs that fit, together with their team's earlier unfinished ones,
+// into what their team is guaranteed, and those of them that can still begin in time.
+func (c *Core) guarantees(now time.Time) {
+	account := guarantee.NewAccount(c.set.Teams, c.set.Guarantees)
+	for _, j := range c.sorted {
+		j.guaranteed, j.holds = account.Take(j.Team, j.Tasks-j.nDone, j.req)
+		j.inTime = j.guaranteed && c.set.Guarantees && guarantee.InTime(c.set.Promise, now.Sub(j.base), c.set.Report, c.fetch(j))
+		if !j.began.known {
+			j.began.known, j.began.entitled = true, j.guaranteed
+		}
+	}
+}
+
+// lacked notes that a job of a team with a guarantee found no room, and may use ordinary
+// machines alone. What its team's limit holds back lacks none.
+func (c *Core) lacked(j *Job, used packing.Vec, now time.Time) {
+	if !c.set.Guarantees || j.Spot || !guarantee.Any(c.set.Teams[j.Team]) || c.limited(j.Team) && !c.withinLimit(j, used) {
+		return
+	}
+	for _, name := range c.names {
+		if j.allowsType(name) && c.types[name].SpotPrice > 0 && c.capacity(name).Fits(j.req) {
+			c.scarce.Lacked(name, j.guaranteed, now)
+		}
+	}
+}
+
+// yields says whether a job leaves ordinary machines of a type to work before it that may
+// use no others: it may use cheap ones and has time to wait for them. Guards against
+// machines that gangs wait for and that tasks hold which could run elsewhere.
+func (c *Core) yields(j *Job, typ string) bool {
+	if !j.Spot || j.inTime || !c.scarce.Ahead(typ, j.guaranteed) {
+		return false
+	}
+	needs := c.fetch(j).Seconds() + j.EstimateS*likelyRuns
+	return guarantee.Waits(c.now.Sub(j.base).Seconds(), needs, c.startup(typ).Seconds(), j.targets)
+}
+
+// scarceLately says whether ordinary machines of a type were too few within a startup time.
+func (c *Core) scarceLately(typ string, now time.Time) bool {
+	return c.scarce.Lately(typ, c.startup(typ), now)
+}
+
+// displaced counts the tasks of a job that stand on ordinary machines which others lacked
+// lately, though cheap ones would do: cheap machines are rented for as many, so that those
+// who come next leave the ordinary ones alone.
+func (c *Core) displaced(j *Job, now time.Time) int {
+	if !c.set.Guarantees || !j.Spot || j.Shape != ledger.ShapeBatch {
+		return 0
+	}
+	n := 0
+	for _, a := range j.held {
+		if m := a.Machine; !m.Spot && a.State != fleet.Ended && c.scarceLately(m.Type, now) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -126,6 +126,7 @@
 	c.queue(now)
 	c.keeper = c.lastKeeper()
 	c.reviewClaims(now)
+	c.scarce.Begin()
 	for _, t := range c.order {
 		j, alike, only := t.j, t.j.alike, ""
 		if t.ready {
@@ -149,6 +150,9 @@
 			c.useClaims(j, used, zones, now)
 			ok = hopeless(j, alike) || c.placeTasks(j, only, used, zones, now)
 		}
+		if !ok && only == "" {
+			c.lacked(j, used[j.Team], now)
+		}
 		if !ok && !limited {
 			failed[alike] = j
 		}
@@ -277,7 +281,7 @@
 		if s == nil {
 			continue
 		}
-		b, moves, rule := s.Insert(it, ok)
+		b, moves, rule := c.insertInto(s, name, j, it, ok)
 		if b == nil {
 			continue
 		}
@@ -297,10 +301,22 @@
 	return nil, nil
 }
 
+// insertInto inserts among the machines of one type. Where ordinary ones were too few for
+// others lately, what may use cheap ones goes there first.
+func (c *Core) insertInto(s *packing.Space, typ string, j *Job, it *packing.Item, ok func(*packing.Bin) bool) (*packing.Bin, []packing.Move, packing.Rule) {
+	if j.Spot && c.scarceLately(typ, c.now) {
+		if b, moves, rule := s.Insert(it, func(b *packing.Bin) bool { return b.Owner.(*fleet.Machine).Spot && ok(b) }); b != nil || c.yields(j, typ) {
+			return b, moves, rule
+		}
+	}
+	return s.Insert(it, ok)
+}
+
 // plant notes a task as meant for a machine, whose bin has its item already.
 func (c *Core) plant(j *Job, t int, try uint64, m *fleet.Machine, it *packing.Item, now time.Time) *fleet.Attempt {
 	a := c.fleet.Plan(m, fleet.TaskID{Job: j.ID, N: t}, try, it, now)
 	a.Job, j.held[t] = j, a
+	j.began.placed = now
 	c.raise(j, t)
 	m.EmptySince = time.Time{}
 	return a
@@ -324,7 +340,7 @@
 		// Guards against a task that lacks its mark and goes to the first machine that
 		// reports: it would wait there for the next report.
 		if j == nil || a.Machine == m || !c.covered(a) || !j.plain() || !m.Bin.Joins(j.req) || !j.permits(m.Type, m.Zone, m.Spot) ||
-			m.Type != a.Machine.Type || m.Spot && !a.Machine.Spot || spared(m, j) || m.Empty() && len(a.Machine.Bin.Items()) > 1 ||
+			m.Type != a.Machine.Type || m.Spot && !a.Machine.Spot || !m.Spot && a.Machine.Spot && c.scarceLately(m.Type, now) || spared(m, j) || m.Empty() && len(a.Machine.Bin.Items()) > 1 ||
 			c.fetch(j) > 0 && !m.Bin.Marked(j.ready) && a.Machine.Bin.Marked(j.ready) {
 			keep = append(keep, a)
 			continue
@@ -484,6 +500,7 @@
 		}
 		a.State, a.SentTick, a.Since = fleet.Sent, m.Tick, now
 		j := c.jobs[a.Task.Job]
+		j.began.sent = now
 		runsTotal.Inc()
 		startSeconds.Update(now.Sub(j.base).Seconds())
 		c.useImage(m, j)
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -63,9 +63,9 @@
 	var claimants []*Job
 	guaranteed := false
 	for _, j := range c.queue(now) {
-		if c.startable(j, now) && j.peek() >= 0 && (prioRank[j.Priority] <= 1 || j.guaranteed) {
+		if c.startable(j, now) && j.peek() >= 0 && (prioRank[j.Priority] <= 1 || j.holds) {
 			claimants = append(claimants, j)
-			guaranteed = guaranteed || j.guaranteed
+			guaranteed = guaranteed || j.holds
 		}
 	}
 	if len(claimants) == 0 {
@@ -114,8 +114,8 @@
 
 // tasks makes room for up to n tasks of a job that need not start together.
 func (s *search) tasks(j *Job, n int) {
-	k := likes{alike: j.alike, rank: j.terms.Rank, guaranteed: j.guaranteed}
-	if j.guaranteed {
+	k := likes{alike: j.alike, rank: j.terms.Rank, guaranteed: j.holds}
+	if j.holds {
 		k.team = j.Team
 	}
 	list, ok := s.seen[k]
@@ -272,14 +272,14 @@
 		return false
 	}
 	aj := s.c.jobOf(a)
-	if aj == nil || aj.Shape != ledger.ShapeBatch || aj.guaranteed {
+	if aj == nil || aj.Shape != ledger.ShapeBatch || aj.holds {
 		return false
 	}
 	if _, before := j.stopped[a.Task]; before {
 		return false
 	}
 	over := excess[aj.Team]
-	return aj.terms.Rank > j.terms.Rank || j.guaranteed && aj.Team != j.Team && (over.CPU > 1e-9 || over.GPU > 1e-9)
+	return aj.terms.Rank > j.terms.Rank || j.holds && aj.Team != j.Team && (over.CPU > 1e-9 || over.GPU > 1e-9)
 }
 
 // loss is the machine time that stopping an attempt throws away, as a share of
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -103,7 +103,7 @@
 	}
 	for _, j := range c.queue(now) {
 		if !j.over && !j.finishing && !now.Before(j.retryAt) {
-			c.plan(p, j, c.wanted(j), now)
+			c.plan(p, j, c.wanted(j)+c.displaced(j, now), now)
 		}
 	}
 	offers := make([]offer, 0, len(p.counts))
@@ -465,6 +465,9 @@
 	if !m.Rented.IsZero() && now.Sub(m.Rented) < rental.MinCharge {
 		return false // it is paid for
 	}
+	if m.Spot && c.scarceLately(m.Type, now) {
+		return false // what comes next for it would take an ordinary one
+	}
 	return !m.EmptySince.IsZero() && now.Sub(m.EmptySince) > hold
 }
 
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -38,6 +38,8 @@
 	aims  []config.Objective
 	marks bool
 	dark  bool
+	owed  bool
+	types []ledger.MachineType
 }
 
 func (s *story) open() *Core {
@@ -49,9 +51,9 @@
 		cfg.Facts.Zones = []string{"a", "b"}
 		cfg.Facts.Teams = append(s.teams, config.Team{Name: "team"})
 		cfg.Facts.Objectives = s.aims
-		cfg.Options.Marks, cfg.Options.DarkZones = s.marks, s.dark
+		cfg.Options.Marks, cfg.Options.DarkZones, cfg.Options.Guarantees = s.marks, s.dark, s.owed
 		s.core = NewCore(SettingsOf(cfg), s.term, s.now)
-		s.core.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, CacheGB: 40, FetchGBps: 0.2, Zones: []string{"a", "b"}}})
+		s.core.SetTypes(append(s.types, ledger.MachineType{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, CacheGB: 40, FetchGBps: 0.2, Zones: []string{"a", "b"}}))
 	}
 	return s.core
 }
@@ -102,6 +104,13 @@
 	case "dark-zones":
 		s.dark = true
 		return nil
+	case "guarantees":
+		s.owed = true
+		return nil
+	case "type":
+		s.types = append(s.types, ledger.MachineType{Name: rest[0], CPUs: s.num(a["cpus"], 4), GPUs: s.num(a["gpus"], 0), MemGB: 16, Price: s.num(a["price"], 1), SpotPrice: s.num(a["cheap"], 0),
+			StartupS: s.num(a["startup"], 20), CacheGB: 40, FetchGBps: s.num(a["rate"], 0.2), Zones: []string{"a", "b"}})
+		return nil
 	case "team":
 		s.teams = append(s.teams, config.Team{Name: rest[0], CPUs: s.num(a["cpus"], 0), CPUsMax: s.num(a["max"], 0)})
 		return nil
@@ -114,7 +123,7 @@
 	case "job":
 		j := ledger.Job{
 			ID: rest[0], Team: or(a["team"], "team"), Shape: or(a["shape"], "batch"), Priority: or(a["prio"], "standard"),
-			Tasks: int(s.num(a["tasks"], 1)), CPUs: s.num(a["cpus"], 1), MemGB: s.num(a["mem"], 1),
+			Tasks: int(s.num(a["tasks"], 1)), CPUs: s.num(a["cpus"], 1), GPUs: s.num(a["gpus"], 0), MemGB: s.num(a["mem"], 1),
 			Class: a["class"], Image: or(a["image"], "img"), ImageGB: s.num(a["gb"], 0), EstimateS: s.num(a["guess"], 60), CheckpointS: s.num(a["saves"], 0), SaveS: s.num(a["flush"], 0),
 			OneZone: a["one_zone"] != "", Apart: a["apart"] != "", Spot: a["spot"] != "no", AcceptedMS: s.now.UnixMilli(),
 		}
@@ -316,7 +325,7 @@
 func (s *story) body(what string, rest []string, a map[string]string) []string {
 	host := rest[0]
 	r := &fleet.Report{
-		Host: host, Addr: host + ":1", Type: "c4", Zone: or(a["zone"], "a"), Spot: a["spot"] != "",
+		Host: host, Addr: host + ":1", Type: or(a["type"], "c4"), Zone: or(a["zone"], "a"), Spot: a["spot"] != "",
 		Version: a["version"], Stint: uint64(s.num(a["stint"], 1)), Baton: uint64(s.num(a["baton"], float64(s.term))),
 	}
 	if n := a["notice"]; n != "" {
--- /dev/null
+++ b/internal/dispatch/waits.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"log/slog"
+	"time"
+
+	"drumpick/internal/fleet"
+	"drumpick/internal/ledger"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// stages is when a job that begins came how far; of a gang, its last task. What is tried
+// again counts from its last try: the time before went by waiting for room.
+type stages struct {
+	heard, placed, sent time.Time
+	entitled            bool // it was within its team's guarantee when it was first placed in order
+	known               bool // whether it was is known
+	told                bool
+}
+
+// wait is how long a job waited for what, until it began.
+type wait struct {
+	heard, room, report, fetch, mates time.Duration
+	machine                           *fleet.Machine // where its image came last
+}
+
+// longest names what a job waited for longest: to be heard of by the leader, for room, for
+// marks and the report that takes the run along, for its image, or for the rest of the gang
+// to be seen running.
+func (w wait) longest() string {
+	by, most := "heard", w.heard
+	for _, x := range []struct {
+		by string
+		d  time.Duration
+	}{{"room", w.room}, {"report", w.report}, {"fetch", w.fetch}, {"mates", w.mates}} {
+		if x.d > most {
+			by, most = x.by, x.d
+		}
+	}
+	return by
+}
+
+// waited works out for what a job waited whose task a is the last one seen to run.
+func (j *Job) waitOf(a *fleet.Attempt, now time.Time) wait {
+	ready := a.ReadySince
+	w := wait{machine: a.Machine}
+	if j.Shape == ledger.ShapeGroup {
+		for _, x := range j.held {
+			if x.ReadySince.After(ready) {
+				ready, w.machine = x.ReadySince, x.Machine
+			}
+		}
+	}
+	w.heard, w.room = j.began.heard.Sub(j.base), j.began.placed.Sub(j.began.heard)
+	w.report, w.fetch, w.mates = j.began.sent.Sub(j.began.placed), ready.Sub(j.began.sent), now.Sub(ready)
+	return w
+}
+
+// running notes that a task was seen to run, and tells once, when its job has begun, for
+// what it waited until then: a guarantee that is missed by seconds is missed by one of these.
+func (c *Core) running(j *Job, a *fleet.Attempt, now time.Time) {
+	if j.began.told || j.held[a.Task.N] != a || j.began.sent.IsZero() {
+		return
+	}
+	if j.Shape == ledger.ShapeGroup {
+		if len(j.held) < j.Tasks {
+			return
+		}
+		for _, x := range j.held {
+			if x.RunSince.IsZero() {
+				return
+			}
+		}
+	}
+	j.began.told = true
+	w := j.waitOf(a, now)
+	if j.began.entitled {
+		metrics.GetOrCreateHistogram(`drumpick_guarantee_wait_seconds{longest="` + w.longest() + `"}`).Update(now.Sub(j.base).Seconds())
+	}
+	slog.Debug("job began", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "entitled", j.began.entitled,
+		"wait_s", now.Sub(j.base).Seconds(), "longest", w.longest(), "heard_s", w.heard.Seconds(), "room_s", w.room.Seconds(),
+		"report_s", w.report.Seconds(), "fetch_s", w.fetch.Seconds(), "mates_s", w.mates.Seconds(), "machine", w.machine.Host, "type", w.machine.Type, "term", c.term)
+}
--- /dev/null
+++ b/internal/dispatch/waits_test.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"drumpick/internal/config"
+)
+
+// For what each job waited before it began is told once, when all of a gang runs, and
+// counts from the last try: an attempt that came to nothing was time without room.
+func TestWhatAJobWaitedFor(t *testing.T) {
+	var log bytes.Buffer
+	was := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	defer slog.SetDefault(was)
+	s := &story{t: t, start: time.Unix(1_000_000, 0), term: 5, ticks: map[string]uint64{}, teams: []config.Team{{Name: "owner", CPUs: 8}}}
+	for _, line := range strings.Split(strings.TrimSpace(`
+at 0 settle
+at 0 job j-1 shape=group tasks=2 cpus=4 team=owner gb=1
+at 1 report m-1 baton=0
+at 1 recorded m-1
+at 6 report m-2 baton=0
+at 6 recorded m-2
+at 7 report m-1
+at 7.5 report m-2
+at 8 report m-1 j-1/0:5.1=waiting
+at 15.5 report m-2 j-1/1:5.1=running
+at 16 report m-1 j-1/0:5.1=running
+at 17 report m-2 j-1/1:5.1=running`), "\n") {
+		s.event(strings.Fields(line))
+	}
+	var told []string
+	for _, line := range strings.Split(log.String(), "\n") {
+		if _, rest, ok := strings.Cut(line, `msg="job began" `); ok {
+			told = append(told, rest)
+		}
+	}
+	want := "job=j-1 class=\"\" team=owner tasks=2 entitled=true wait_s=16 longest=fetch heard_s=0 room_s=6 report_s=1.5 fetch_s=8 mates_s=0.5 machine=m-2 type=c4 term=5"
+	if len(told) != 1 || told[0] != want {
+		t.Errorf("told %q\nwant %q", told, want)
+	}
+}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -11,23 +11,24 @@
 
 // Attempt is one start of a task on one machine.
 type Attempt struct {
-	Task     TaskID
-	Try      uint64
-	Machine  *Machine
-	State    State
-	Cause    string
-	Saved    bool
-	SentTick uint64 // tick of the report whose response carried the run
-	Since    time.Time
-	RunSince time.Time // when it was first seen running
-	Stop     bool
-	Grace    float64 // seconds given to save
-	StopAt   time.Time
-	Reap     bool          // may be removed from the worker's memory
-	Item     *packing.Item // its place in the machine's bin; nil once it has ended
-	Stray    bool          // not an attempt that we count as the task's own
-	Job      any           // whose task it is, for whoever plans; nothing to the table
-	body     uint64        // the machine's body that last had it
+	Task       TaskID
+	Try        uint64
+	Machine    *Machine
+	State      State
+	Cause      string
+	Saved      bool
+	SentTick   uint64 // tick of the report whose response carried the run
+	Since      time.Time
+	RunSince   time.Time // when it was first seen running
+	ReadySince time.Time // when it was first seen with its image there
+	Stop       bool
+	Grace      float64 // seconds given to save
+	StopAt     time.Time
+	Reap       bool          // may be removed from the worker's memory
+	Item       *packing.Item // its place in the machine's bin; nil once it has ended
+	Stray      bool          // not an attempt that we count as the task's own
+	Job        any           // whose task it is, for whoever plans; nothing to the table
+	body       uint64        // the machine's body that last had it
 }
 
 // Present says whether the attempt may be on its machine: everything that was
@@ -313,6 +314,9 @@
 		}
 		if a.State != st {
 			out.Changed = true
+			if (st == Running || st == Waiting) && a.ReadySince.IsZero() {
+				a.ReadySince = now
+			}
 			if st == Running && a.RunSince.IsZero() {
 				a.RunSince = now
 				out.Running = append(out.Running, a)
