Owed work stops others only while it can still begin in time; nothing yields by rule

Change: a job within a guarantee has others stopped only while it can begin in time after they have saved (three report intervals and its fetch). Cheap machines first, and rented for what stands in the way, stays.

--- a/internal/dispatch/owed.go
+++ b/internal/dispatch/owed.go
@@ -22,6 +22,17 @@
 	}
 }
 
+// savingReports is how long, in report intervals, it takes until what was stopped has saved,
+// its end was heard and the run went out.
+const savingReports = 3
+
+// gains says whether a job within a guarantee can still begin in time once others were
+// stopped for it. Guards against tasks that are stopped again and again for gangs which are
+// late all the same: on crowded days that was more than a third of the starts of their class.
+func (c *Core) gains(j *Job, now time.Time) bool {
+	return !c.set.Guarantees || c.set.Promise == 0 || guarantee.InTime(c.set.Promise, now.Sub(j.base), savingReports*c.set.Report, c.fetch(j))
+}
+
 // lacked notes that a job of a team with a guarantee found no room, and may use ordinary
 // machines alone. What its team's limit holds back lacks none.
 func (c *Core) lacked(j *Job, used packing.Vec, now time.Time) {
@@ -30,22 +41,11 @@
 	}
 	for _, name := range c.names {
 		if j.allowsType(name) && c.types[name].SpotPrice > 0 && c.capacity(name).Fits(j.req) {
-			c.scarce.Lacked(name, j.guaranteed, now)
+			c.scarce.Lacked(name, now)
 		}
 	}
 }
 
-// yields says whether a job leaves ordinary machines of a type to work before it that may
-// use no others: it may use cheap ones and has time to wait for them. Guards against
-// machines that gangs wait for and that tasks hold which could run elsewhere.
-func (c *Core) yields(j *Job, typ string) bool {
-	if !j.Spot || j.inTime || !c.scarce.Ahead(typ, j.guaranteed) {
-		return false
-	}
-	needs := c.fetch(j).Seconds() + j.EstimateS*likelyRuns
-	return guarantee.Waits(c.now.Sub(j.base).Seconds(), needs, c.startup(typ).Seconds(), j.targets)
-}
-
 // scarceLately says whether ordinary machines of a type were too few within a startup time.
 func (c *Core) scarceLately(typ string, now time.Time) bool {
 	return c.scarce.Lately(typ, c.startup(typ), now)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -126,7 +126,6 @@
 	c.queue(now)
 	c.keeper = c.lastKeeper()
 	c.reviewClaims(now)
-	c.scarce.Begin()
 	for _, t := range c.order {
 		j, alike, only := t.j, t.j.alike, ""
 		if t.ready {
@@ -302,10 +301,11 @@
 }
 
 // insertInto inserts among the machines of one type. Where ordinary ones were too few for
-// others lately, what may use cheap ones goes there first.
+// others lately, what may use cheap ones goes there first. Guards against ordinary machines
+// that gangs wait for and that are filled with tasks beside empty cheap ones.
 func (c *Core) insertInto(s *packing.Space, typ string, j *Job, it *packing.Item, ok func(*packing.Bin) bool) (*packing.Bin, []packing.Move, packing.Rule) {
 	if j.Spot && c.scarceLately(typ, c.now) {
-		if b, moves, rule := s.Insert(it, func(b *packing.Bin) bool { return b.Owner.(*fleet.Machine).Spot && ok(b) }); b != nil || c.yields(j, typ) {
+		if b, moves, rule := s.Insert(it, func(b *packing.Bin) bool { return b.Owner.(*fleet.Machine).Spot && ok(b) }); b != nil {
 			return b, moves, rule
 		}
 	}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -61,18 +61,18 @@
 		return
 	}
 	var claimants []*Job
-	guaranteed := false
+	owing := false
 	for _, j := range c.queue(now) {
-		if c.startable(j, now) && j.peek() >= 0 && (prioRank[j.Priority] <= 1 || j.holds) {
+		if c.startable(j, now) && j.peek() >= 0 && (prioRank[j.Priority] <= 1 || j.holds && c.gains(j, now)) {
 			claimants = append(claimants, j)
-			guaranteed = guaranteed || j.holds
+			owing = owing || j.holds
 		}
 	}
 	if len(claimants) == 0 {
 		return
 	}
 	s := &search{c: c, now: now, excess: map[string]packing.Vec{}, versions: map[*fleet.Machine]int{}, seen: map[likes][]*vacancy{}}
-	if guaranteed {
+	if owing {
 		for name, t := range c.set.Teams {
 			s.excess[name] = c.staying(name).Sub(packing.Vec{CPU: t.CPUs, GPU: t.GPUs})
 		}
--- a/internal/guarantee/account.go
+++ b/internal/guarantee/account.go
@@ -1,5 +1,6 @@
 // Package guarantee decides what teams' guarantees mean for who goes first: which jobs are
-// owed their room, which of them can still begin in time, and which machines work that could go elsewhere leaves alone.
+// owed their room, which of them can still begin in time, and which machines are too few
+// for them.
 //
 // The package is pure: no I/O, no clock.
 package guarantee
--- a/internal/guarantee/guarantee_test.go
+++ b/internal/guarantee/guarantee_test.go
@@ -73,41 +73,14 @@
 	}
 }
 
-// Whoever has time to spare waits, as does who is late anyway; whoever would be late for
-// the want of half a boot does not.
-func TestWaits(t *testing.T) {
-	for _, c := range []struct {
-		age  float64
-		want bool
-	}{{0, true}, {65, true}, {75, false}, {125, false}, {135, true}} {
-		if got := Waits(c.age, 150, 60, []float64{250}); got != c.want {
-			t.Errorf("after %v s: %v", c.age, got)
-		}
-	}
-	if !Waits(160, 150, 60, []float64{250, 400}) || Waits(240, 150, 60, []float64{250, 400}) {
-		t.Error("a later target does not count once the first is missed")
-	}
-}
-
-// Room that is lacked by work in excess is left alone by none that is itself owed its room;
-// each look begins anew, and what was lacked is remembered for a time.
+// What was lacked is remembered for a time, by type.
 func TestScarce(t *testing.T) {
 	s, now := NewScarce(), time.Unix(1000, 0)
-	s.Begin()
-	if s.Ahead("g", false) || s.Lately("g", time.Minute, now) {
+	if s.Lately("g", time.Minute, now) {
 		t.Error("lacking before anything was")
 	}
-	s.Lacked("g", false, now)
-	if !s.Ahead("g", false) || s.Ahead("g", true) || s.Ahead("c", false) {
-		t.Error("work in excess lacks room")
-	}
-	s.Lacked("g", true, now)
-	s.Lacked("g", false, now)
-	if !s.Ahead("g", true) {
-		t.Error("work that is owed it lacks room")
-	}
-	s.Begin()
-	if s.Ahead("g", false) || !s.Lately("g", time.Minute, now.Add(59*time.Second)) || s.Lately("g", time.Minute, now.Add(time.Minute)) {
-		t.Error("another look")
+	s.Lacked("g", now)
+	if !s.Lately("g", time.Minute, now.Add(59*time.Second)) || s.Lately("g", time.Minute, now.Add(time.Minute)) || s.Lately("c", time.Minute, now) {
+		t.Error("not remembered for just a minute, of this type")
 	}
 }
