--- a/internal/standin/relay_test.go
+++ b/internal/standin/relay_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -10,15 +11,15 @@
 // What becomes of workers' reports when controllers pass them on.
 
 // during tells how many reports came to each node while a story went on for a time.
-func (c *cluster) during(s float64) (n [3]int) {
+func (c *cluster) during(s float64) (n []int) {
 	c.mu.Lock()
-	before := c.came
+	before := slices.Clone(c.came)
 	c.mu.Unlock()
 	sleep(s)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i := range n {
-		n[i] = c.came[i] - before[i]
+	for i := range before {
+		n = append(n, c.came[i]-before[i])
 	}
 	return n
 }
--- /dev/null
+++ b/internal/standin/seven_test.go
@@ -0,0 +1,64 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"drumpick/internal/ledger"
+)
+
+// Seven controllers, reports every 1.5 s and gangs that hold half of a machine: all
+// controllers are restarted one after the other, one takes most of a report interval to
+// answer, and the store is away for longer than a lease. Nothing of it may cost a gang its
+// work: no lease of a machine ends, and every task starts once.
+func TestSevenControllers(t *testing.T) {
+	const nodes, gangs = 7, 12
+	playWith(t, func(c *cluster) {
+		c.cfg.Facts.Nodes = nodes
+		c.cfg.Facts.Workers.ReportS = 1.5
+		c.cfg.Options.Guarantees = true
+		c.world.Every, c.world.Capacity = 1500*time.Millisecond, 20
+		c.world.GangWait, c.world.GangPeer = 30*time.Second, 5*time.Second
+	}, func(c *cluster) {
+		c.world.RunFor = func(string) time.Duration { return 150 * time.Second }
+		tasks := 0
+		submit := func(n int) {
+			size := 2 + 2*(n%3)
+			tasks += size
+			if got := c.submit(n%nodes, ledger.Job{ID: fmt.Sprint("j-", n), Shape: ledger.ShapeGroup, Tasks: size, CPUs: 2, EstimateS: 150, CheckpointS: 60, SaveS: 4, OneZone: true}); got != 201 {
+				t.Errorf("gang %d: status %d", n, got)
+			}
+		}
+		sleep(3)
+		for n := range gangs / 2 {
+			submit(n)
+		}
+		sleep(36)
+		c.mu.Lock()
+		c.slow[(c.leadingLocked()+1)%nodes] = 700 * time.Millisecond
+		c.mu.Unlock()
+		for i := range nodes {
+			c.kill(i)
+			sleep(5)
+			c.boot(i)
+			sleep(3)
+		}
+		for n := range gangs / 2 {
+			submit(gangs/2 + n)
+		}
+		sleep(2)
+		c.state.Outage(true)
+		sleep(20)
+		c.state.Outage(false)
+		sleep(240)
+		for n := range gangs {
+			for i := range nodes {
+				c.wantDone(i, fmt.Sprint("j-", n))
+			}
+		}
+		if got := c.world.Starts(); got != tasks {
+			t.Errorf("%d starts for %d tasks", got, tasks)
+		}
+	})
+}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -45,15 +45,16 @@
 	nodes []*node // nil while down
 	jobs  map[string]ledger.Job
 	start int
-	deaf  map[int]bool   // nodes that workers cannot reach
-	paced bool           // leaders keep to their share of the write rate
-	plain map[int]bool   // nodes that keep no marks and pass nothing on, as earlier versions
-	alone map[int]bool   // nodes that no other can reach
-	only  map[string]int // the one node that workers of a zone can reach
-	came  [3]int         // reports that workers sent to each node
+	deaf  map[int]bool          // nodes that workers cannot reach
+	paced bool                  // leaders keep to their share of the write rate
+	plain map[int]bool          // nodes that keep no marks and pass nothing on, as earlier versions
+	alone map[int]bool          // nodes that no other can reach
+	only  map[string]int        // the one node that workers of a zone can reach
+	came  []int                 // reports that workers sent to each node
+	slow  map[int]time.Duration // by how much later a node gets to what others ask of it
 }
 
-const names = "n-0 n-1 n-2"
+const names = "n-0 n-1 n-2 n-3 n-4 n-5 n-6"
 
 // play runs a story with three controllers and checks the rules at its end.
 func play(t *testing.T, story func(c *cluster)) { playWith(t, func(*cluster) {}, story) }
@@ -70,11 +71,10 @@
 			State:   config.State{RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 16},
 			Cloud:   config.Cloud{RPS: 4, ListLagS: 3},
 		}
-		c := &cluster{t: t, ctx: ctx, state: NewState(), world: NewWorld(ctx), cfg: cfg, jobs: map[string]ledger.Job{}, nodes: make([]*node, 3), deaf: map[int]bool{}, plain: map[int]bool{}, alone: map[int]bool{}, only: map[string]int{}}
+		c := &cluster{t: t, ctx: ctx, state: NewState(), world: NewWorld(ctx), cfg: cfg, jobs: map[string]ledger.Job{}, slow: map[int]time.Duration{}, deaf: map[int]bool{}, plain: map[int]bool{}, alone: map[int]bool{}, only: map[string]int{}}
 		w := c.world
 		w.Every, w.Lease, w.Startup, w.Cancel = 2*time.Second, 12*time.Second, 20*time.Second, 30*time.Second
 		w.Capacity = 50
-		w.Nodes = strings.Fields(names)
 		w.Types = []ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, Zones: []string{"a", "b"}}}
 		w.RunFor = func(string) time.Duration { return 30 * time.Second }
 		w.Jobs = func(id string) (ledger.Job, bool) {
@@ -85,6 +85,8 @@
 		}
 		w.Report = c.report
 		prepare(c)
+		n := cfg.Facts.Nodes
+		c.nodes, c.came, w.Nodes = make([]*node, n), make([]int, n), strings.Fields(names)[:n]
 		for i := range c.nodes {
 			c.boot(i)
 		}
@@ -117,9 +119,10 @@
 	cfg := *c.cfg
 	cfg.Options.Marks = cfg.Options.Marks && !c.plain[i]
 	cfg.Options.Relay = cfg.Options.Relay && !c.plain[i]
-	n.ten = tenure.New(n.client, name, fmt.Sprint("start-", c.start), 4*time.Second, cfg.Options.Marks)
+	grant := time.Duration(cfg.Options.GrantReports * cfg.Facts.Workers.ReportS * float64(time.Second))
+	n.ten = tenure.New(n.client, name, fmt.Sprint("start-", c.start), grant, cfg.Options.Marks)
 	cfg.Node = name
-	for j, other := range strings.Fields(names) {
+	for j, other := range c.world.Nodes {
 		if j != i {
 			cfg.Seeds = append(cfg.Seeds, config.Seed{Node: other})
 		}
@@ -197,6 +200,13 @@
 	return c.deaf[i]
 }
 
+// late is how much later a node gets to what others ask of it.
+func (c *cluster) late(i int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.slow[i]
+}
+
 // hidden says whether workers of a zone cannot reach a node.
 func (c *cluster) hidden(i int, zone string) bool {
 	c.mu.Lock()
@@ -213,7 +223,7 @@
 }
 
 func (c *cluster) report(i int, r *fleet.Report) (int, fleet.Response, string) {
-	time.Sleep(latency)
+	time.Sleep(latency + c.late(i))
 	n := c.node(i)
 	if n == nil {
 		return Refused, fleet.Response{}, ""
@@ -273,6 +283,7 @@
 	time.Sleep(latency)
 	for i := range f.c.nodes {
 		if n := f.c.node(i); n != nil && n.name == node && !f.c.plain[i] && !f.c.apart(f.me, i) {
+			time.Sleep(f.c.late(i))
 			return n.server.Bundled(in), nil
 		}
 	}
