--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -388,17 +388,18 @@
 	case fleet.Ended:
 		a.Reap = true
 	default:
-		c.stop(a, 0, time.Time{})
+		c.stop(a, whyOver, 0, time.Time{})
 	}
 }
 
-// stop marks an attempt to be killed. The kill is repeated until its exit shows.
-func (c *Core) stop(a *fleet.Attempt, grace float64, now time.Time) {
+// stop marks an attempt to be killed, and why: the first reason stays. The kill is repeated
+// until its exit shows.
+func (c *Core) stop(a *fleet.Attempt, why string, grace float64, now time.Time) {
 	if a.Stop && grace >= a.Grace {
 		return
 	}
 	if !a.Stop {
-		a.StopAt = now
+		a.StopAt, a.Why = now, why
 	}
 	a.Stop, a.Grace = true, grace
 	c.kick[a.Machine.Host] = true
--- a/internal/dispatch/drains.go
+++ b/internal/dispatch/drains.go
@@ -356,7 +356,7 @@
 	if j.CheckpointS > 0 {
 		grace = j.SaveS
 	}
-	c.stop(a, grace, now)
+	c.stop(a, whyDrained, grace, now)
 }
 
 // emptyGang decides about a gang as a whole, of which some tasks are on machines that are
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -114,7 +114,7 @@
 		} else {
 			// Its size is unknown: hold the whole machine until it is gone.
 			m.Hold(a, &packing.Item{ID: a.Task.String(), Req: m.Bin.Cap})
-			c.stop(a, 0, time.Time{})
+			c.stop(a, whyOver, 0, time.Time{})
 		}
 		return
 	}
@@ -137,7 +137,7 @@
 	}
 	// A second attempt of the same task: it goes, and until then it counts.
 	j.strays[a.Task.N]++
-	c.stop(a, 0, time.Time{})
+	c.stop(a, whyStray, 0, time.Time{})
 }
 
 // gone handles an attempt that is no longer on its machine and left no result.
@@ -145,7 +145,7 @@
 	j := c.jobs[a.Task.Job]
 	lostTotal.Inc()
 	drained(a, now)
-	slog.Debug("attempt gone", "task", a.Task.String(), "machine", a.Machine.Host, "state", a.State.String(), "term", c.term)
+	slog.Debug("attempt gone", "task", a.Task.String(), "machine", a.Machine.Host, "state", a.State.String(), "fate", c.inVain(a), "term", c.term)
 	if j != nil && j.Shape == ledger.ShapeGroup && j.held[a.Task.N] == a && a.State != fleet.Sent {
 		defer func() { c.breakGang(j, now); c.keepPlace(j, a) }()
 	}
@@ -163,7 +163,11 @@
 	drained(a, now)
 	metrics.GetOrCreateCounter(`drumpick_tasks_ended_total{cause="` + causeLabel(a.Cause) + `"}`).Inc()
 	fetched, ran := a.Took(now)
-	slog.Debug("task ended", "task", a.Task.String(), "machine", m.Host, "cause", a.Cause, "saved", a.Saved,
+	became := "done"
+	if a.Cause != fleet.CauseDone {
+		became = c.inVain(a)
+	}
+	slog.Debug("task ended", "task", a.Task.String(), "machine", m.Host, "cause", a.Cause, "fate", became, "saved", a.Saved,
 		"fetch_s", fetched.Seconds(), "run_s", ran.Seconds(), "term", c.term)
 	switch a.Cause {
 	case fleet.CauseDone:
@@ -308,12 +312,12 @@
 		switch remains := c.remaining(j, a, now); {
 		case j.CheckpointS > 0:
 			if left > j.SaveS && remains > left {
-				c.stop(a, j.SaveS, now)
+				c.stop(a, whyNotice, j.SaveS, now)
 			}
 		case remains > left:
 			// What it has done is lost with the machine in any case; stopped now, it
 			// starts elsewhere now, and not when the machine is known to be gone.
-			c.stop(a, 0, now)
+			c.stop(a, whyNotice, 0, now)
 		}
 	}
 }
@@ -337,7 +341,7 @@
 			defer func() { a.Machine.Forget(a); c.release(a) }()
 			continue
 		}
-		c.stop(a, j.SaveS, now)
+		c.stop(a, whyMates, j.SaveS, now)
 	}
 	if !j.gangBroken {
 		j.gangTry = 0
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -423,7 +423,7 @@
 			if mv.To != nil && mv.To.Fits(j.req) {
 				c.own(j, mv.To.Owner.(*fleet.Machine), now)
 			}
-			c.stop(a, j.SaveS, now)
+			c.stop(a, whyMoved, j.SaveS, now)
 		}
 	}
 }
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -214,17 +214,20 @@
 func (s *search) carryOut(j *Job, chosen []taken, excess map[string]packing.Vec) {
 	for _, x := range chosen {
 		for _, a := range x.stop {
-			save := 0.0
-			if aj := s.c.jobOf(a); aj.CheckpointS > 0 {
+			why, save, aj := whyGuarantee, 0.0, s.c.jobOf(a)
+			if aj.CheckpointS > 0 {
 				save = aj.SaveS
 			}
+			if aj.terms.Rank > j.terms.Rank {
+				why = whyPreempted
+			}
 			if j.stopped == nil {
 				j.stopped = map[fleet.TaskID]struct{}{}
 			}
 			j.stopped[a.Task] = struct{}{}
 			preemptedTotal.Inc()
 			slog.Debug("stopped for another", "task", a.Task.String(), "machine", x.m.Host, "job", j.ID, "term", s.c.term)
-			s.c.stop(a, save, s.now)
+			s.c.stop(a, why, save, s.now)
 		}
 		for range x.tasks {
 			s.c.own(j, x.m, s.now)
--- a/internal/dispatch/rounds.go
+++ b/internal/dispatch/rounds.go
@@ -151,7 +151,7 @@
 		// for room while its machine could have gone on with it.
 		if to := c.roomFor(j, leave, now); to != nil {
 			c.own(j, to, now)
-			c.stop(leave, j.SaveS, now)
+			c.stop(leave, whyMoved, j.SaveS, now)
 		} else {
 			j.leaving = 1
 		}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -22,6 +22,7 @@
 	RunSince   time.Time // when it was first seen running
 	ReadySince time.Time // when it was first seen with its image there
 	Stop       bool
+	Why        string  // it was stopped; for whoever stops, nothing to the table
 	Grace      float64 // seconds given to save
 	StopAt     time.Time
 	Reap       bool          // may be removed from the worker's memory
