What hangs on the report interval stands in one place, and settings that hold together badly are named

Need: a deployment with reports every 1.5 s made every ratio to that interval a question, and the answers stood in five files. config.Timing derives them; the daemon uses it, with the values it had. Doubts lists what is in range and would cost work or miss an aim for nothing: a lease shorter than a takeover, or than one unanswered report; calls to the store shorter than it may take; an aim for guarantees under three report intervals.

--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -40,16 +40,20 @@
 	debug.SetGCPercent(200)
 
 	ctx := context.Background()
-	report := cfg.Report()
+	timing := cfg.Timing()
+	report := timing.Report
+	for _, d := range cfg.Doubts() {
+		slog.Warn("settings hold together badly", "doubt", d)
+	}
 	st := cfg.Facts.State.Lowest()
 	store := store.NewClient(cfg.External.State, store.Limits{
-		WriteRPS: st.WriteRPS, Conns: max(res.FDLimit/20, 8), Timeout: min(report/2, time.Second),
+		WriteRPS: st.WriteRPS, Conns: max(res.FDLimit/20, 8), Timeout: timing.Store,
 	})
-	peers := peer.NewPeers(cfg.Seeds, min(report/4, time.Second/2))
-	cloud := cloud.NewClient(cfg.External.Cloud, cfg.Facts.Cloud.RPS, 2*report)
-	workers := workers.NewCaller(max(res.FDLimit/40, 4), report)
+	peers := peer.NewPeers(cfg.Seeds, timing.Peer)
+	cloud := cloud.NewClient(cfg.External.Cloud, cfg.Facts.Cloud.RPS, timing.Cloud)
+	workers := workers.NewCaller(max(res.FDLimit/40, 4), timing.Worker)
 	ten := tenure.New(store, cfg.Node, strconv.FormatUint(rand.Uint64(), 36),
-		time.Duration(float64(report)*cfg.Options.GrantReports), cfg.Options.Marks)
+		timing.Grant, cfg.Options.Marks)
 	var witness frontier.Witness
 
 	var leader atomic.Pointer[lead.Leader]
--- /dev/null
+++ b/internal/config/timing_test.go
@@ -0,0 +1,29 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"drumpick/internal/trace"
+)
+
+func TestTiming(t *testing.T) {
+	trace.Run(t, "timing.trace", func(t *testing.T) func([]string) []string {
+		return func(w []string) []string {
+			a := map[string]float64{}
+			for _, x := range w[1:] {
+				k, v, _ := strings.Cut(x, "=")
+				a[k], _ = strconv.ParseFloat(v, 64)
+			}
+			c := &Config{Options: DefaultOptions()}
+			c.Facts.Workers = Workers{ReportS: a["report"], LeaseS: a["lease"], CancelS: a["cancel"]}
+			if a["aim"] > 0 {
+				c.Facts.Objectives = []Objective{{Kind: KindGuarantee, WithinS: a["aim"]}}
+			}
+			d := c.Timing()
+			return append([]string{fmt.Sprintf("grant %v; calls: store %v, peer %v, cloud %v, worker %v; without the store %v", d.Grant, d.Store, d.Peer, d.Cloud, d.Worker, d.Unvouched)}, c.Doubts()...)
+		}
+	})
+}
