--- a/internal/config/timing.go
+++ b/internal/config/timing.go
@@ -8,14 +8,13 @@
 // Timing holds what calls are given and how long a leader's grant lives. All are ratios to
 // the interval in which workers report, bounded where users or workers wait.
 type Timing struct {
-	Report     time.Duration // in which workers report
-	Grant      time.Duration // life of the leader's grant
-	Store      time.Duration // for a call to the state service
-	Peer       time.Duration // for a call to another controller
-	Cloud      time.Duration // for a call to the cloud
-	Worker     time.Duration // for a direct command
-	Unvouched  time.Duration // for which leases are renewed without contact to the store
-	workerWait time.Duration // a worker waits so long for an answer, and a second for the next
+	Report    time.Duration // in which workers report
+	Grant     time.Duration // life of the leader's grant
+	Store     time.Duration // for a call to the state service
+	Peer      time.Duration // for a call to another controller
+	Cloud     time.Duration // for a call to the cloud
+	Worker    time.Duration // for a direct command
+	Unvouched time.Duration // for which leases are renewed without contact to the store
 }
 
 // Timing derives them from the settings.
@@ -24,12 +23,16 @@
 	return Timing{
 		Report: r, Grant: time.Duration(float64(r) * c.Options.GrantReports),
 		Store: min(r/2, time.Second), Peer: min(r/4, time.Second/2), Cloud: 2 * r, Worker: r,
-		Unvouched: Seconds(w.CancelS - w.LeaseS), workerWait: 4 * time.Second,
+		Unvouched: Seconds(w.CancelS - w.LeaseS),
 	}
 }
 
-// slowStore is what the state service may take now and then.
-const slowStore = 300 * time.Millisecond
+const (
+	// slowStore is what the state service may take now and then.
+	slowStore = 300 * time.Millisecond
+	// nextNode is how long a worker waits for an answer, and before it tries the next node.
+	nextNode = 5 * time.Second
+)
 
 // Doubts lists settings each of which is in range and that hold together badly: nothing
 // breaks a rule by them, but work is lost or an aim missed for nothing. Guards against a
@@ -44,7 +47,7 @@
 		}
 	}
 	doubt(t.Grant+2*t.Report > lease, "facts.workers.lease_s (%v): a leader that fails is replaced after %v and heard by all machines %v later; their leases may end before", w.LeaseS, t.Grant, 2*t.Report)
-	doubt(t.workerWait+time.Second+t.Report > lease, "facts.workers.lease_s (%v): one report without an answer costs a worker %v; its lease may end", w.LeaseS, t.workerWait+time.Second+t.Report)
+	doubt(nextNode+t.Report > lease, "facts.workers.lease_s (%v): one report without an answer costs a worker %v; its lease may end", w.LeaseS, nextNode+t.Report)
 	doubt(t.Unvouched < 2*t.Report, "facts.workers.cancel_s (%v): a leader out of touch with the store renews leases for %v only", w.CancelS, t.Unvouched)
 	doubt(t.Store < slowStore, "facts.workers.report_s (%v): calls to the state service are given %v, and it may take %v", w.ReportS, t.Store, slowStore)
 	for i, o := range c.Facts.Objectives {
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -41,7 +41,7 @@
 	return by
 }
 
-// waited works out for what a job waited whose task a is the last one seen to run.
+// waitOf works out for what a job waited whose task a is the last one seen to run.
 func (j *Job) waitOf(a *fleet.Attempt, now time.Time) wait {
 	ready := a.ReadySince
 	w := wait{machine: a.Machine}
