When a job's last run went out is read from its attempts, not kept beside them

Found on a last read: the job kept a time that its attempts have, and of an array it was that of whichever task went out last, so the fetch of the first that ran could come out negative. For gangs nothing changes (the kept expectation is the same); whether a start is of this term is asked of its attempt number. What is decided does not depend on any of it.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -500,7 +500,6 @@
 		}
 		a.State, a.SentTick, a.Since = fleet.Sent, m.Tick, now
 		j := c.jobs[a.Task.Job]
-		j.began.sent = now
 		runsTotal.Inc()
 		startSeconds.Update(now.Sub(j.base).Seconds())
 		c.useImage(m, j)
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -13,10 +13,10 @@
 // stages is when a job that begins came how far; of a gang, its last task. What is tried
 // again counts from its last try: the time before went by waiting for room.
 type stages struct {
-	heard, placed, sent time.Time
-	entitled            bool // it was within its team's guarantee when it was first placed in order
-	known               bool // whether it was is known
-	told                bool
+	heard, placed time.Time
+	entitled      bool // it was within its team's guarantee when it was first placed in order
+	known         bool // whether it was is known
+	told          bool
 }
 
 // wait is how long a job waited for what, until it began.
@@ -43,24 +43,31 @@
 
 // waitOf works out for what a job waited whose task a is the last one seen to run.
 func (j *Job) waitOf(a *fleet.Attempt, now time.Time) wait {
-	ready := a.ReadySince
+	placed, sent, ready := j.began.placed, a.Since, a.ReadySince
 	w := wait{machine: a.Machine}
 	if j.Shape == ledger.ShapeGroup {
 		for _, x := range j.held {
+			if x.Since.After(sent) {
+				sent = x.Since
+			}
 			if x.ReadySince.After(ready) {
 				ready, w.machine = x.ReadySince, x.Machine
 			}
 		}
 	}
-	w.heard, w.room = j.began.heard.Sub(j.base), j.began.placed.Sub(j.began.heard)
-	w.report, w.fetch, w.mates = j.began.sent.Sub(j.began.placed), ready.Sub(j.began.sent), now.Sub(ready)
+	// Guards against a job whose other tasks were placed since the first that runs was sent.
+	if placed.After(sent) {
+		placed = sent
+	}
+	w.heard, w.room = j.began.heard.Sub(j.base), placed.Sub(j.began.heard)
+	w.report, w.fetch, w.mates = sent.Sub(placed), ready.Sub(sent), now.Sub(ready)
 	return w
 }
 
 // running notes that a task was seen to run, and tells once, when its job has begun, for
 // what it waited until then: a guarantee that is missed by seconds is missed by one of these.
 func (c *Core) running(j *Job, a *fleet.Attempt, now time.Time) {
-	if j.began.told || j.held[a.Task.N] != a || j.began.sent.IsZero() {
+	if j.began.told || j.held[a.Task.N] != a || a.Try>>24 != c.term {
 		return
 	}
 	if j.Shape == ledger.ShapeGroup {
