Room is saved for gangs and first tasks that would begin too late

Change: package largest (pure) and dispatch/largest.go. From three quarters of the bound on, less three times what its places will take to fall free, what falls free in one zone is the gang's own; in the order of who must begin first. An array's first task gets the place that is free soonest. [largest] enabled, begin_s (240). A fetch is reckoned on types that hold the task.

--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -23,6 +23,8 @@
 	Relay         bool    // controllers pass workers' reports on to the leader
 	Shed          bool    // a leader that falls behind leaves starts out
 	Guarantees    bool    // work within a guarantee that can begin in time goes first, and finds room
+	Largest       bool    // room is saved for what needs much of it at once
+	BeginS        float64 // s within which any job is to begin, if there is room for it at all
 	DarkZones     bool    // machines of a zone that is cut off are waited for
 }
 
@@ -30,7 +32,7 @@
 func DefaultOptions() Options {
 	return Options{
 		RoundReports: 2, AlphaUp: -0.2, AlphaDown: 0.7, Window: 8, Percentile: 90,
-		GrantReports: 2, IdleStartups: 1, SpreadRefused: 0.5,
+		GrantReports: 2, IdleStartups: 1, SpreadRefused: 0.5, BeginS: 240,
 	}
 }
 
@@ -53,6 +55,7 @@
 		{"forecast", "percentile", &o.Percentile, 1, 100},
 		{"leader", "grant_reports", &o.GrantReports, 1, 20},
 		{"rental", "idle_startups", &o.IdleStartups, 0, 100},
+		{"largest", "begin_s", &o.BeginS, 1, 86400},
 		{"rental", "refused_startups", &o.SpreadRefused, 0.05, 100},
 	} {
 		known[e.section+"."+e.key] = true
@@ -84,6 +87,7 @@
 		{"overload", "shed", &o.Shed},
 		{"zones", "dark", &o.DarkZones},
 		{"guarantees", "enabled", &o.Guarantees},
+		{"largest", "enabled", &o.Largest},
 	} {
 		known[e.section+"."+e.key] = true
 		if !f.Section(e.section).HasKey(e.key) {
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -146,7 +146,7 @@
 	}
 	for i := len(j.claims) - 1; i >= 0; i-- {
 		switch cl := &j.claims[i]; {
-		case coming:
+		case coming || j.saving != "":
 			cl.since = now
 		case now.Sub(cl.since) > claimReports*c.set.Report:
 			slog.Debug("room was kept in vain", "job", j.ID, "machine", cl.m.Host, "term", c.term)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -36,6 +36,7 @@
 	Shed                           bool          // starts are left out when the leader falls behind
 	Guarantees                     bool          // work within a guarantee that can begin in time goes first, and finds room
 	Promise                        time.Duration // within which work that is guaranteed is to begin; 0: none is stated
+	Begin                          time.Duration // within which any job is to begin, the largest too; 0: room is saved for none
 	DarkZones                      bool          // machines of a zone that is cut off are waited for
 }
 
@@ -61,6 +62,9 @@
 			Window: c.Options.Window, Percentile: c.Options.Percentile,
 		},
 	}
+	if c.Options.Largest {
+		s.Begin = config.Seconds(c.Options.BeginS)
+	}
 	for _, o := range c.Facts.Objectives {
 		if within := config.Seconds(o.WithinS); o.Kind == config.KindGuarantee && within > 0 && (s.Promise == 0 || within < s.Promise) {
 			s.Promise = within
@@ -112,6 +116,8 @@
 	began      stages                    // how far its first start has come
 	claims     []claim                   // room on machines that is its own
 	claimAfter time.Time                 // claims no room before
+	saving     string                    // the zone where room is saved for it
+	broke      time.Time                 // when a gang that had begun lost its last place
 	stopped    map[fleet.TaskID]struct{} // tasks that were stopped for its sake
 	moved      map[int]struct{}          // tasks that were moved to fill or empty a bin
 	leaving    int                       // tasks that are to leave their machines and find no others
@@ -535,6 +541,9 @@
 		if j.Shape == ledger.ShapeGroup {
 			c.keepPlace(j, a)
 			if len(j.held) == 0 {
+				if j.began.told {
+					j.broke = c.now
+				}
 				j.gangTry, j.gangBroken = 0, false
 			}
 		}
--- a/internal/dispatch/keep.go
+++ b/internal/dispatch/keep.go
@@ -84,22 +84,7 @@
 // if it is given nothing else.
 func (c *Core) roomIn(j *Job, m *fleet.Machine, now time.Time) float64 {
 	free := m.Bin.Cap.Sub(m.Bin.Used())
-	type end struct {
-		in  float64
-		req packing.Vec
-	}
-	ends := make([]end, 0, 16) // on the stack: a machine holds few
-	for _, a := range m.Attempts() {
-		if a.Item == nil {
-			continue
-		}
-		in := 0.0
-		if aj := c.jobOf(a); aj != nil {
-			in = c.remaining(aj, a, now)
-		}
-		ends = append(ends, end{in, a.Item.Req})
-	}
-	slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.in, b.in) })
+	ends := c.endings(m, now)
 	for _, e := range ends {
 		if free.Fits(j.req) {
 			return e.in
@@ -112,6 +97,29 @@
 	return ends[len(ends)-1].in
 }
 
+// ending is room that a task gives back when it ends, by its estimate in so many seconds.
+type ending struct {
+	in  float64
+	req packing.Vec
+}
+
+// endings lists, the soonest first, when what is on a machine ends.
+func (c *Core) endings(m *fleet.Machine, now time.Time) []ending {
+	ends := make([]ending, 0, 16) // a machine holds few
+	for _, a := range m.Attempts() {
+		if a.Item == nil {
+			continue
+		}
+		in := 0.0
+		if aj := c.jobOf(a); aj != nil {
+			in = c.remaining(aj, a, now)
+		}
+		ends = append(ends, ending{in, a.Item.Req})
+	}
+	slices.SortFunc(ends, func(a, b ending) int { return cmp.Compare(a.in, b.in) })
+	return ends
+}
+
 // keptMark is the mark of bins whose machines are kept.
 const keptMark = "kept"
 
--- /dev/null
+++ b/internal/dispatch/largest.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"drumpick/internal/fleet"
+	"drumpick/internal/largest"
+	"drumpick/internal/ledger"
+	"drumpick/internal/packing"
+)
+
+// saveRoom makes what has fallen free the own of gangs that have waited for long, oldest
+// first, each in a zone of its own. It goes before all placing: section 3.4's insert takes
+// items one by one, and a gang that needs twelve bins at once finds eleven at the most beside
+// a queue of smaller ones that never ends.
+func (c *Core) saveRoom(now time.Time) {
+	if c.set.Begin <= 0 || !c.settled {
+		return
+	}
+	var due []*Job
+	for _, j := range c.queue(now) {
+		if c.saves(j, now) {
+			due = append(due, j)
+		}
+	}
+	missed := func(j *Job) bool {
+		w := now.Sub(j.waitsSince())
+		return w > c.set.Begin && w < 2*c.set.Begin
+	}
+	slices.SortStableFunc(due, func(a, b *Job) int {
+		if missed(a) != missed(b) {
+			return first(!missed(a))
+		}
+		return a.waitsSince().Compare(b.waitsSince())
+	})
+	ahead := map[string]int{}
+	for _, j := range due {
+		if j.Shape != ledger.ShapeGroup {
+			c.saveOne(j, now)
+			continue
+		}
+		if j.saving == "" {
+			zone, in := c.saveWhere(j, ahead, now)
+			if zone == "" || !largest.Due(now.Sub(j.waitsSince()), time.Duration(in*float64(time.Second)), c.set.Begin) {
+				continue
+			}
+			j.saving = zone
+			slog.Debug("saves room", "job", j.ID, "tasks", j.Tasks, "zone", j.saving, "waited_s", now.Sub(j.waitsSince()).Seconds(), "in_s", in, "term", c.term)
+		}
+		ahead[j.saving] += c.save(j, now)
+	}
+}
+
+// waitsSince is from when a job's wait for its begin counts.
+func (j *Job) waitsSince() time.Time {
+	if j.broke.After(j.base) {
+		return j.broke
+	}
+	return j.base
+}
+
+// saves says whether room is to be saved for a job by now: for a gang all its places, for an
+// array the first.
+func (c *Core) saves(j *Job, now time.Time) bool {
+	waited := now.Sub(j.waitsSince())
+	is := waited >= largest.Soonest(c.set.Begin) && len(j.held)+len(j.strays) == 0 && c.startable(j, now) && j.peek() >= 0
+	switch {
+	case !is:
+	case j.Shape == ledger.ShapeGroup:
+		is = j.gangTry == 0 && c.wanted(j) >= j.pending()
+	default:
+		is = j.Shape == ledger.ShapeBatch && j.nDone == 0 && !j.began.told && c.wanted(j) > 0 && largest.Due(waited, 0, c.set.Begin)
+	}
+	if !is {
+		j.saving = ""
+	}
+	return is
+}
+
+// saveWhere chooses the zone where a job's places fall free soonest.
+func (c *Core) saveWhere(j *Job, ahead map[string]int, now time.Time) (zone string, in float64) {
+	byZone := map[string][]float64{}
+	for _, m := range c.fleet.Sorted() {
+		if !c.open(m, now) || !j.permits(m.Type, m.Zone, m.Spot) || !m.Bin.Cap.Fits(j.req) {
+			continue
+		}
+		zone := m.Zone
+		if !j.OneZone {
+			zone = largest.Everywhere
+		}
+		byZone[zone] = append(byZone[zone], c.placesIn(j, m, now)...)
+	}
+	var zones []largest.Zone
+	for name, in := range byZone {
+		zones = append(zones, largest.Zone{Name: name, In: in, Ahead: ahead[name]})
+	}
+	return largest.Choose(zones, j.pending())
+}
+
+// placesIn guesses when a machine has room for one, two and more tasks of a job, in seconds,
+// if it is given nothing else.
+func (c *Core) placesIn(j *Job, m *fleet.Machine, now time.Time) []float64 {
+	var ins []float64
+	free := m.Bin.Cap.Sub(m.Bin.Used()).Sub(m.Bin.Owed())
+	for _, e := range append([]ending{{}}, c.endings(m, now)...) {
+		for free = free.Add(e.req); free.Fits(j.req); free = free.Sub(j.req) {
+			ins = append(ins, e.in)
+		}
+	}
+	return ins
+}
+
+// save makes free places in the chosen zone the job's own, as many as it has tasks, and says
+// how many it lacks.
+func (c *Core) save(j *Job, now time.Time) (lacks int) {
+	n := j.pending() - len(j.claims)
+	for _, m := range c.fleet.Sorted() {
+		if n <= 0 {
+			break
+		}
+		if j.saving != largest.Everywhere && m.Zone != j.saving || !c.open(m, now) || !j.permits(m.Type, m.Zone, m.Spot) {
+			continue
+		}
+		for n > 0 && m.Bin.Fits(j.req) {
+			c.own(j, m, now)
+			n--
+		}
+	}
+	return max(n, 0)
+}
+
+// saveOne makes the place that is free soonest the own of an array of which no task has begun.
+func (c *Core) saveOne(j *Job, now time.Time) {
+	j.saving = largest.Everywhere
+	if len(j.claims) > 0 {
+		return
+	}
+	var best *fleet.Machine
+	soonest := 0.0
+	for _, m := range c.fleet.Sorted() {
+		if !c.open(m, now) || !j.permits(m.Type, m.Zone, m.Spot) || !m.Bin.Cap.Fits(j.req) || m.Bin.Owed() != (packing.Vec{}) {
+			continue
+		}
+		if in := c.roomIn(j, m, now); best == nil || in < soonest {
+			best, soonest = m, in
+		}
+	}
+	if best != nil {
+		c.own(j, best, now)
+	}
+}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -100,11 +100,12 @@
 	})
 }
 
-// fetch is how long a machine that suits a job takes to fetch its image.
+// fetch is how long a machine that suits a job, and has room for its tasks at all, takes to
+// fetch its image.
 func (c *Core) fetch(j *Job) time.Duration {
 	rate := 0.0
 	for name, t := range c.types {
-		if j.allowsType(name) {
+		if j.allowsType(name) && c.capacity(name).Fits(j.req) {
 			rate = max(rate, t.FetchGBps)
 		}
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -126,6 +126,7 @@
 	c.queue(now)
 	c.keeper = c.lastKeeper()
 	c.reviewClaims(now)
+	c.saveRoom(now)
 	for _, t := range c.order {
 		j, alike, only := t.j, t.j.alike, ""
 		if t.ready {
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -39,6 +39,7 @@
 	marks bool
 	dark  bool
 	owed  bool
+	begin float64
 	types []ledger.MachineType
 }
 
@@ -52,6 +53,7 @@
 		cfg.Facts.Teams = append(s.teams, config.Team{Name: "team"})
 		cfg.Facts.Objectives = s.aims
 		cfg.Options.Marks, cfg.Options.DarkZones, cfg.Options.Guarantees = s.marks, s.dark, s.owed
+		cfg.Options.Largest, cfg.Options.BeginS = s.begin > 0, s.begin
 		s.core = NewCore(SettingsOf(cfg), s.term, s.now)
 		s.core.SetTypes(append(s.types, ledger.MachineType{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, CacheGB: 40, FetchGBps: 0.2, Zones: []string{"a", "b"}}))
 	}
@@ -107,6 +109,9 @@
 	case "guarantees":
 		s.owed = true
 		return nil
+	case "begin":
+		s.begin = s.num(rest[0], 0)
+		return nil
 	case "type":
 		s.types = append(s.types, ledger.MachineType{Name: rest[0], CPUs: s.num(a["cpus"], 4), GPUs: s.num(a["gpus"], 0), MemGB: 16, Price: s.num(a["price"], 1), SpotPrice: s.num(a["cheap"], 0),
 			StartupS: s.num(a["startup"], 20), CacheGB: 40, FetchGBps: s.num(a["rate"], 0.2), Zones: []string{"a", "b"}})
--- /dev/null
+++ b/internal/largest/largest.go
@@ -0,0 +1,55 @@
+// Package largest decides for whom room is saved that needs much of it at once: a gang whose
+// places never fall free all together waits for ever beside small work that takes them one by
+// one as they do. Whoever has waited for a share of the bound gets a zone, and what falls free
+// there is its own until it begins.
+//
+// The package is pure: no I/O, no clock.
+package largest
+
+import (
+	"slices"
+	"time"
+)
+
+// Everywhere stands for all zones together.
+const Everywhere = "*"
+
+// Due says whether room is to be saved for a job by now. Guards against saving that begins
+// so late that the bound is missed all the same: what is saved falls free one place after the
+// other, and those who came before save first.
+func Due(waited, need, bound time.Duration) bool {
+	return float64(waited)+needShare*float64(need) >= dueShare*float64(bound)
+}
+
+// Soonest is the wait before which room is saved for nobody, whatever it needs.
+func Soonest(bound time.Duration) time.Duration {
+	return time.Duration(float64(bound) * dueShare / 2)
+}
+
+const (
+	dueShare  = 0.75
+	needShare = 3
+)
+
+// Zone is what falls free in one zone for the tasks of one job.
+type Zone struct {
+	Name  string
+	In    []float64 // seconds until each further place is free, in any order
+	Ahead int       // places that others who save there still lack
+}
+
+// Choose picks the zone where n places are free soonest once those who save there have theirs,
+// and says in how many seconds; "" if no zone will have as many.
+func Choose(zones []Zone, n int) (name string, in float64) {
+	for _, z := range zones {
+		k := z.Ahead + n
+		if len(z.In) < k {
+			continue
+		}
+		at := slices.Sorted(slices.Values(z.In))[k-1]
+		if name == "" || at < in || at == in && z.Name < name {
+			name, in = z.Name, at
+		}
+	}
+	return name, in
+}
