Who is served is told; a machine asked how it stands by others is not deaf

Change: package served (pure): came, begun, done, late and the longest wait by class, team and a class's largest tenth, in metrics and the log four times in the bound on a begin, a warning before a half or the bound is missed. A worker has heard as well if it reports through the same controller sooner than it could be back there. A report of which a part makes no sense is refused with the field's name and changes nothing: what cannot be read was taken for gone.

--- a/internal/dispatch/chains.go
+++ b/internal/dispatch/chains.go
@@ -57,6 +57,7 @@
 		j.base, j.since = j.Accepted, j.Stamp
 		if at := c.chain.Released(id); !j.waits && !at.IsZero() {
 			j.base = j.Accepted.Add(max(at.Sub(time.UnixMilli(j.AcceptedMS)), 0))
+			c.served.Since(j.ID, j.base)
 		}
 		if !j.waits {
 			j.since = max(j.Stamp, c.chain.Since(id))
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -18,6 +18,7 @@
 	"drumpick/internal/ledger"
 	"drumpick/internal/means"
 	"drumpick/internal/packing"
+	"drumpick/internal/served"
 	"drumpick/internal/zones"
 )
 
@@ -36,6 +37,7 @@
 	Shed                           bool          // starts are left out when the leader falls behind
 	Guarantees                     bool          // work within a guarantee that can begin in time goes first, and finds room
 	Promise                        time.Duration // within which work that is guaranteed is to begin; 0: none is stated
+	Within                         time.Duration // in which any job should begin, for the account of who is served
 	Begin                          time.Duration // within which any job is to begin, the largest too; 0: room is saved for none
 	DarkZones                      bool          // machines of a zone that is cut off are waited for
 }
@@ -62,8 +64,9 @@
 			Window: c.Options.Window, Percentile: c.Options.Percentile,
 		},
 	}
+	s.Within = config.Seconds(c.Options.BeginS)
 	if c.Options.Largest {
-		s.Begin = config.Seconds(c.Options.BeginS)
+		s.Begin = s.Within
 	}
 	for _, o := range c.Facts.Objectives {
 		if within := config.Seconds(o.WithinS); o.Kind == config.KindGuarantee && within > 0 && (s.Promise == 0 || within < s.Promise) {
@@ -223,6 +226,8 @@
 	keeper      *Job              // the one of them that is served last, for the placing under way
 	scarce      *guarantee.Scarce // which ordinary machines are too few for those who may use no others
 	owners      []*Job            // jobs that have claims
+	served      *served.Account   // who came and who began
+	toldServed  time.Time         // when that was last told
 	drains      []*drainWork      // what operators asked for, by id
 	lastDrain   time.Time         // when it was last looked at
 	draining    bool              // any of it holds now
@@ -237,7 +242,7 @@
 		set: set, term: term, jobs: map[string]*Job{}, chain: chain.New(), alike: map[likeness]int{}, types: map[string]ledger.MachineType{},
 		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{}, marks: newMarks(),
 		means: means.New(set.Report, set.Report/TickShare), cuts: zones.New(set.Lease),
-		scarce: guarantee.NewScarce(), rent: newRentState(), spaces: map[string]*packing.Space{},
+		scarce: guarantee.NewScarce(), served: served.New(), toldServed: now, rent: newRentState(), spaces: map[string]*packing.Space{},
 	}
 }
 
@@ -327,6 +332,7 @@
 	c.liken(j)
 	c.jobs[rec.ID] = j
 	c.resort, c.dirty = true, true
+	c.served.Came(j.ID, j.Class, j.Team, float64(j.Tasks)*max(j.req.CPU, j.req.GPU), j.base)
 	c.link(j)
 	c.suspect(j)
 	c.foresee(j)
@@ -339,6 +345,7 @@
 	if j == nil {
 		return nil
 	}
+	c.served.Began(id, c.began)
 	base := chunk * c.set.ChunkTasks
 	return ledger.ParseRanges(ranges, func(i int) {
 		if n := base + i; n < j.Tasks {
@@ -371,6 +378,7 @@
 		return
 	}
 	j.over = true
+	c.served.Over(id, j.nDone == j.Tasks, c.now)
 	c.giveUp(j)
 	delete(c.jobs, id)
 	c.closed = append(c.closed, id)
--- a/internal/dispatch/rounds.go
+++ b/internal/dispatch/rounds.go
@@ -16,6 +16,7 @@
 	if !canRun {
 		return
 	}
+	c.tellServed(now)
 	for _, m := range c.fleet.Sorted() {
 		if m.Draining || m.Returning || m.Lost || m.Deaf() {
 			c.unplan(m)
--- /dev/null
+++ b/internal/dispatch/served.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// servedLooks is how often, in the bound on a job's begin, it is looked at who is served.
+	servedLooks = 4
+	// servedWarn is the share served in time below which, and the share of the bound waited
+	// beyond which, that is a warning: before a half, and the bound, are missed.
+	servedWarn, waitWarn = 0.6, 0.75
+)
+
+// tellServed tells, now and then, who is served: one line for each class, team and class's
+// largest, and a warning where less than half of them may end up without.
+func (c *Core) tellServed(now time.Time) {
+	if now.Sub(c.toldServed) < c.set.Within/servedLooks {
+		return
+	}
+	c.toldServed = now
+	for _, l := range c.served.Look(c.set.Within, now) {
+		for what, n := range map[string]int{"came": l.Came, "begun": l.Begun, "done": l.Done, "late": l.Late} {
+			metrics.GetOrCreateGauge(`drumpick_served_jobs{by="`+l.By+`",name="`+label(l.Name)+`",what="`+what+`"}`, nil).Set(float64(n))
+		}
+		level := slog.LevelInfo
+		if l.Served() < servedWarn || l.Waiting != "" && float64(l.Longest) > waitWarn*float64(c.set.Within) {
+			level = slog.LevelWarn
+		}
+		slog.Log(context.Background(), level, "served", "by", l.By, "name", l.Name, "came", l.Came, "begun", l.Begun, "done", l.Done, "late", l.Late,
+			"longest_s", l.Longest.Round(time.Second).Seconds(), "waiting", l.Waiting, "term", c.term)
+	}
+}
+
+// label keeps what users make up from breaking the metrics' names.
+func label(name string) string {
+	out := []rune(name)
+	for i, r := range out {
+		if r == '"' || r == '\\' || r < ' ' {
+			out[i] = '_'
+		}
+	}
+	return string(out)
+}
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -64,21 +64,31 @@
 	return w
 }
 
+// begun says whether a job of which a task was just seen to run has begun: a gang has when
+// all its tasks run.
+func (j *Job) begun() bool {
+	if j.Shape != ledger.ShapeGroup {
+		return true
+	}
+	for _, x := range j.held {
+		if x.RunSince.IsZero() {
+			return false
+		}
+	}
+	return len(j.held) == j.Tasks
+}
+
 // running notes that a task was seen to run, and tells once, when its job has begun, for
 // what it waited until then: a guarantee that is missed by seconds is missed by one of these.
 func (c *Core) running(j *Job, a *fleet.Attempt, now time.Time) {
+	if j.begun() {
+		c.served.Began(j.ID, now)
+	}
 	if j.began.told || j.held[a.Task.N] != a || a.Try>>24 != c.term {
 		return
 	}
-	if j.Shape == ledger.ShapeGroup {
-		if len(j.held) < j.Tasks {
-			return
-		}
-		for _, x := range j.held {
-			if x.RunSince.IsZero() {
-				return
-			}
-		}
+	if !j.begun() {
+		return
 	}
 	j.began.told = true
 	w := j.waitOf(a, now)
--- a/internal/fleet/hearing.go
+++ b/internal/fleet/hearing.go
@@ -8,6 +8,7 @@
 type hearing struct {
 	asked  bool      // a report was answered with 200, and no newer one has come since
 	via    string    // the controller through which
+	at     time.Time // when
 	misses int       // answers in a row that show no trace
 	since  time.Time // when the first of them was missed
 }
@@ -16,14 +17,20 @@
 // that ends, and with a controller that a worker leaves.
 const fewMisses = 2
 
+// away is how soon a worker that was given no answer can be back at the same controller: it
+// waits for 4 s, and tries the next a second later (PROTOCOL). Less is a margin, and the case of
+// two controllers.
+const away = 2 * (4 + 1) * time.Second * 9 / 10
+
 // hear weighs what a body shows of the last answer. A worker stays with the controller that
-// answered it, and goes to another a second after it was given no answer (PROTOCOL): the next
-// report in a row through the same one has heard. So has one that shows what only an answer or
-// a command can have brought, and whoever answers a command.
+// answered it: the next report in a row through the same one has heard, and so has one that
+// comes through it sooner than it could be back. (Its number need not be the next: whoever
+// asks a worker how it stands raises that.) So has one that shows what only an answer or a
+// command can have brought, and whoever answers a command.
 func (m *Machine) hear(r *Report, isReport bool, term uint64, now time.Time) {
 	h := &m.hearing
 	heard := !isReport || m.Baton < term && r.Baton == term
-	stays := h.asked && h.via != "" && r.Via == h.via && r.Stint == m.Stint && r.Tick == m.Tick+1
+	stays := h.asked && h.via != "" && r.Via == h.via && r.Stint == m.Stint && (r.Tick == m.Tick+1 || now.Sub(h.at) < away)
 	known := h.asked && h.via != "" && r.Via != "" // whether it stayed
 	sent := false
 	for _, a := range m.order {
@@ -57,7 +64,7 @@
 // Answered notes that a 200 was written to the machine's last report, through a controller.
 func (m *Machine) Answered(via string, now time.Time) {
 	m.LastAnswer = now
-	m.hearing.asked, m.hearing.via = true, via
+	m.hearing.asked, m.hearing.via, m.hearing.at = true, via, now
 }
 
 // Deaf says whether nothing that was sent to the machine has reached it lately, though it
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -250,7 +250,7 @@
 // Apply takes in a body. isReport tells a report, whose worker has given up on
 // or taken in every earlier response, from an answer to /orders or /status.
 func (t *Table) Apply(r *Report, isReport bool, now time.Time) Outcome {
-	if r.Host == "" || r.Stint == 0 {
+	if r.Check() != nil {
 		return Outcome{Stale: true}
 	}
 	stranger := t.Machines[r.Host] == nil
@@ -301,11 +301,8 @@
 	m.body++
 	for i := range r.Tasks {
 		tr := &r.Tasks[i]
-		task, ok := ParseTask(tr.Shot)
-		st, ok2 := parseState(tr.Status)
-		if !ok || !ok2 {
-			continue
-		}
+		task, _ := ParseTask(tr.Shot)
+		st, _ := parseState(tr.Status)
 		a := m.attempt(task, tr.Try)
 		if a == nil {
 			a = &Attempt{Task: task, Try: tr.Try, Machine: m, Since: now, State: st, Cause: tr.Cause, Saved: tr.Saved, body: m.body}
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -6,6 +6,8 @@
 //go:generate go run github.com/mailru/easyjson/easyjson -no_std_marshalers wire.go
 
 import (
+	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 )
@@ -31,6 +33,27 @@
 	Via string `json:"-"`
 }
 
+// Check names the first field that is missing or makes no sense. Guards against a report of
+// which one part cannot be read: what it seems to lack would be taken for gone.
+func (r *Report) Check() error {
+	switch {
+	case r.Host == "":
+		return errors.New("host is missing")
+	case r.Stint == 0:
+		return errors.New("stint is missing or 0")
+	}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		if _, ok := ParseTask(t.Shot); !ok {
+			return fmt.Errorf("shots[%d].shot %q names no task", i, t.Shot)
+		}
+		if _, ok := parseState(t.Status); !ok {
+			return fmt.Errorf("shots[%d].status %q is not known", i, t.Status)
+		}
+	}
+	return nil
+}
+
 // TaskReport is one attempt in a report.
 //
 //easyjson:json
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -605,8 +605,11 @@
 		return asJSON(421, referral{})
 	}
 	var r fleet.Report
-	if err := easyjson.Unmarshal(body, &r); err != nil || r.Host == "" || r.Stint == 0 {
-		return asJSON(400, failure{"not a report"})
+	if err := easyjson.Unmarshal(body, &r); err != nil {
+		return asJSON(400, failure{"not a report: " + err.Error()})
+	}
+	if err := r.Check(); err != nil {
+		return asJSON(400, failure{err.Error()})
 	}
 	if via == "" && !l.Unreachable(&r) {
 		return asJSON(421, referral{})
--- /dev/null
+++ b/internal/served/served.go
@@ -0,0 +1,168 @@
+// Package served keeps account of who was served: how many jobs of a class, of a team and of
+// a class's largest came, began and were done, and how long they waited. A day on which less
+// than half of any of these is served has failed, however well the others fared, and nobody
+// notices by looking at means.
+//
+// The package is pure: no I/O, no clock. It knows what its owner has seen, which begins anew
+// with each term.
+package served
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// job is one that came.
+type job struct {
+	class, team string
+	room        float64 // that it needs at once, all tasks together
+	came, began time.Time
+	over, done  bool
+}
+
+// Account is who came and what became of them.
+type Account struct {
+	jobs  map[string]*job
+	order []string // as they came
+}
+
+// New returns an empty account.
+func New() *Account { return &Account{jobs: map[string]*job{}} }
+
+// most is how many jobs are remembered; of these, those over for longest are forgotten first.
+const most = 4096
+
+// Came notes a job, which needs so much room and waits since then.
+func (a *Account) Came(id, class, team string, room float64, since time.Time) {
+	if a.jobs[id] != nil {
+		return
+	}
+	a.jobs[id] = &job{class: class, team: team, room: room, came: since}
+	if a.order = append(a.order, id); len(a.order) <= most {
+		return
+	}
+	kept, excess := a.order[:0], len(a.order)-most*3/4
+	for _, x := range a.order {
+		if excess > 0 && a.jobs[x].over {
+			delete(a.jobs, x)
+			excess--
+			continue
+		}
+		kept = append(kept, x)
+	}
+	a.order = kept
+}
+
+// Since notes that a job waits only since then: before, it waited for others.
+func (a *Account) Since(id string, at time.Time) {
+	if j := a.jobs[id]; j != nil {
+		j.came = at
+	}
+}
+
+// Began notes that a job has begun: a gang with all its tasks, an array with its first.
+func (a *Account) Began(id string, at time.Time) {
+	if j := a.jobs[id]; j != nil && j.began.IsZero() {
+		j.began = at
+	}
+}
+
+// Over notes that a job is over, done or cancelled.
+func (a *Account) Over(id string, done bool, at time.Time) {
+	j := a.jobs[id]
+	if j == nil {
+		return
+	}
+	j.over, j.done = true, done
+	if done {
+		a.Began(id, at)
+	}
+}
+
+// What a line speaks of.
+const (
+	Class   = "class"
+	Team    = "team"
+	Largest = "largest" // of a class, the largest tenth by room
+)
+
+// Line is how a class, a team or a class's largest were served. Cancelled jobs are in none.
+type Line struct {
+	By, Name          string
+	Came, Begun, Done int
+	Due, Late         int           // of those who came a bound ago or began: all, and those who did not begin within it
+	Longest           time.Duration // wait, of those who have not begun up to now
+	Waiting           string        // who waits longest of those who have not begun; "" if none does
+}
+
+// Served is the share of those due that began in time; 1 where nobody is due.
+func (l Line) Served() float64 {
+	if l.Due == 0 {
+		return 1
+	}
+	return 1 - float64(l.Late)/float64(l.Due)
+}
+
+// largestShare is the share of a class that counts as its largest, one job at least.
+const largestShare = 0.1
+
+// Look adds up, by classes, teams and largest, each by name.
+func (a *Account) Look(bound time.Duration, now time.Time) []Line {
+	lines := map[[2]string]*Line{}
+	byClass := map[string][]string{}
+	for _, id := range a.order {
+		j := a.jobs[id]
+		if j.over && !j.done {
+			continue
+		}
+		a.add(lines, Class, j.class, id, bound, now)
+		a.add(lines, Team, j.team, id, bound, now)
+		byClass[j.class] = append(byClass[j.class], id)
+	}
+	for class, ids := range byClass {
+		slices.SortStableFunc(ids, func(x, y string) int { return cmp.Compare(a.jobs[y].room, a.jobs[x].room) })
+		least := a.jobs[ids[max(int(float64(len(ids))*largestShare), 1)-1]].room
+		for _, id := range ids {
+			if a.jobs[id].room >= least {
+				a.add(lines, Largest, class, id, bound, now)
+			}
+		}
+	}
+	var out []Line
+	for _, l := range lines {
+		out = append(out, *l)
+	}
+	slices.SortFunc(out, func(x, y Line) int { return cmp.Or(cmp.Compare(x.By, y.By), cmp.Compare(x.Name, y.Name)) })
+	return out
+}
+
+func (a *Account) add(lines map[[2]string]*Line, by, name, id string, bound time.Duration, now time.Time) {
+	l := lines[[2]string{by, name}]
+	if l == nil {
+		l = &Line{By: by, Name: name}
+		lines[[2]string{by, name}] = l
+	}
+	j := a.jobs[id]
+	l.Came++
+	waited := now.Sub(j.came)
+	if !j.began.IsZero() {
+		l.Begun++
+		waited = j.began.Sub(j.came)
+	}
+	if j.done {
+		l.Done++
+	}
+	if !j.began.IsZero() || waited > bound {
+		l.Due++
+	}
+	if waited > bound {
+		l.Late++
+	}
+	if waited > l.Longest {
+		l.Longest = waited
+	}
+	if j.began.IsZero() && (l.Waiting == "" || j.came.Before(a.jobs[l.Waiting].came)) {
+		l.Waiting = id
+	}
+}
--- /dev/null
+++ b/internal/served/served_test.go
@@ -0,0 +1,73 @@
+package served
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A class is served well while its largest are not: the account tells.
+func TestLargestAreSeen(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(1000+int64(s), 0) }
+	a := New()
+	for i := range 20 {
+		id := fmt.Sprint("small-", i)
+		a.Came(id, "scan", "desk", 2, at(i))
+		a.Began(id, at(i+5))
+	}
+	a.Came("big-1", "scan", "desk", 12, at(3))
+	a.Came("big-2", "scan", "night", 12, at(4))
+	a.Began("big-2", at(200))
+	a.Came("gone", "scan", "desk", 50, at(4))
+	a.Over("gone", false, at(9)) // cancelled: it counts nowhere
+	a.Over("small-0", true, at(60))
+	got := map[string]string{}
+	for _, l := range a.Look(100*time.Second, at(300)) {
+		got[l.By+" "+l.Name] = fmt.Sprintf("%d came, %d begun, %d done, %.2f in time, longest %v, waits %s", l.Came, l.Begun, l.Done, l.Served(), l.Longest, l.Waiting)
+	}
+	for what, want := range map[string]string{
+		"class scan":   "22 came, 21 begun, 1 done, 0.91 in time, longest 4m57s, waits big-1",
+		"largest scan": "2 came, 1 begun, 0 done, 0.00 in time, longest 4m57s, waits big-1",
+		"team desk":    "21 came, 20 begun, 1 done, 0.95 in time, longest 4m57s, waits big-1",
+		"team night":   "1 came, 1 begun, 0 done, 0.00 in time, longest 3m16s, waits ",
+	} {
+		if got[what] != want {
+			t.Errorf("%s: %s\nwant %s", what, got[what], want)
+		}
+	}
+}
+
+// Whatever comes and in whatever order it is told, nobody who waits is forgotten, memory is
+// bounded, and no line counts more who began than came.
+func TestNobodyWhoWaitsIsForgotten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, waits := New(), map[string]bool{}
+		now := time.Unix(1000, 0)
+		for i := range rapid.IntRange(1, 3*most).Draw(t, "jobs") {
+			now = now.Add(time.Second)
+			id := fmt.Sprint("j-", i)
+			a.Came(id, fmt.Sprint("c", i%3), fmt.Sprint("t", i%5), float64(i%17), now)
+			if i%1000 == 7 {
+				waits[id] = true
+				continue
+			}
+			a.Began(id, now)
+			a.Over(id, i%2 == 0, now)
+		}
+		if len(a.jobs) > most+1 || len(a.jobs) != len(a.order) {
+			t.Fatalf("%d jobs are remembered, %d in order", len(a.jobs), len(a.order))
+		}
+		for id := range waits {
+			if a.jobs[id] == nil {
+				t.Fatalf("%s waits and is forgotten", id)
+			}
+		}
+		for _, l := range a.Look(time.Minute, now) {
+			if l.Begun > l.Came || l.Done > l.Begun || l.Late > l.Due || l.Due > l.Came {
+				t.Fatalf("%+v does not add up", l)
+			}
+		}
+	})
+}
--- a/internal/workers/caller.go
+++ b/internal/workers/caller.go
@@ -2,7 +2,6 @@
 package workers
 
 import (
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -68,8 +67,8 @@
 	if err := easyjson.Unmarshal(raw, &r); err != nil {
 		return status, nil, fmt.Errorf("worker %s: %w", addr, err)
 	}
-	if r.Host == "" {
-		return status, nil, errors.New("worker " + addr + ": answer without a name")
+	if err := r.Check(); err != nil {
+		return status, nil, fmt.Errorf("worker %s: %w", addr, err)
 	}
 	return status, &r, nil
 }
