--- a/internal/dispatch/claims_test.go
+++ b/internal/dispatch/claims_test.go
@@ -56,6 +56,22 @@
 
 const yardCPUs = 4
 
+// newYard opens one with so many machines in each of two zones.
+func newYard(t *rapid.T, options config.Options, teams []config.Team, slots int) *yard {
+	cfg := &config.Config{Options: options}
+	cfg.Facts.Workers = config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 5, CancelS: 30}
+	cfg.Facts.State.ValueKB, cfg.Facts.Zones, cfg.Facts.Teams = 8, []string{"a", "b"}, teams
+	y := &yard{t: t, now: time.Unix(1_000_000, 0), jobs: map[string]ledger.Job{}, runs: map[string]time.Duration{}, asked: map[string]time.Time{}, began: map[string]bool{}}
+	y.c = NewCore(SettingsOf(cfg), 5, y.now)
+	y.c.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: yardCPUs, MemGB: 16, Price: 0.2, StartupS: 20, CacheGB: 40, Zones: []string{"a", "b"}}})
+	y.c.CheckSettled(y.now)
+	for i := range 2 * slots {
+		host := fmt.Sprintf("m-%02d", i)
+		y.hosts = append(y.hosts, &yardHost{report: fleet.Report{Host: host, Addr: host, Type: "c4", Zone: string("ab"[i%2]), Stint: 1, Baton: 5}})
+	}
+	return y
+}
+
 // step lets half a second pass, and every machine report once in a report interval.
 func (y *yard) step(i int) {
 	y.now = y.now.Add(500 * time.Millisecond)
@@ -219,17 +235,7 @@
 			}
 			teams = append(teams, team)
 		}
-		cfg := &config.Config{Options: config.DefaultOptions()}
-		cfg.Facts.Workers = config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 5, CancelS: 30}
-		cfg.Facts.State.ValueKB, cfg.Facts.Zones, cfg.Facts.Teams = 8, []string{"a", "b"}, teams
-		y := &yard{t: t, now: time.Unix(1_000_000, 0), jobs: map[string]ledger.Job{}, runs: map[string]time.Duration{}, asked: map[string]time.Time{}, began: map[string]bool{}}
-		y.c = NewCore(SettingsOf(cfg), 5, y.now)
-		y.c.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: yardCPUs, MemGB: 16, Price: 0.2, StartupS: 20, CacheGB: 40, Zones: []string{"a", "b"}}})
-		y.c.CheckSettled(y.now)
-		for i := range 2 * slots {
-			host := fmt.Sprintf("m-%02d", i)
-			y.hosts = append(y.hosts, &yardHost{report: fleet.Report{Host: host, Addr: host, Type: "c4", Zone: string("ab"[i%2]), Stint: 1, Baton: 5}})
-		}
+		y := newYard(t, config.DefaultOptions(), teams, slots)
 		all := 0   // tasks
 		asked := 0 // what the tasks of jobs that may ask for room could take, in smallest tasks
 		var comes []ledger.Job
--- a/internal/dispatch/largest_test.go
+++ b/internal/dispatch/largest_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"drumpick/internal/config"
-	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
 
 	"pgregory.net/rapid"
@@ -17,18 +16,9 @@
 // crowded is a yard in which small work of a later turn always waits, and gangs that need all
 // of a zone come in between. It tells when each began, counted from when it came.
 func crowded(t *rapid.T, begin float64, slots int, gangs []int, runs []int) map[string]time.Duration {
-	cfg := &config.Config{Options: config.DefaultOptions()}
-	cfg.Options.Largest, cfg.Options.BeginS = begin > 0, max(begin, 1)
-	cfg.Facts.Workers = config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 5, CancelS: 30}
-	cfg.Facts.State.ValueKB, cfg.Facts.Zones, cfg.Facts.Teams = 8, []string{"a", "b"}, []config.Team{{Name: "team"}}
-	y := &yard{t: t, now: time.Unix(1_000_000, 0), jobs: map[string]ledger.Job{}, runs: map[string]time.Duration{}, asked: map[string]time.Time{}, began: map[string]bool{}}
-	y.c = NewCore(SettingsOf(cfg), 5, y.now)
-	y.c.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: yardCPUs, MemGB: 16, Price: 0.2, StartupS: 20, CacheGB: 40, Zones: []string{"a", "b"}}})
-	y.c.CheckSettled(y.now)
-	for i := range 2 * slots {
-		host := fmt.Sprintf("m-%02d", i)
-		y.hosts = append(y.hosts, &yardHost{report: fleet.Report{Host: host, Addr: host, Type: "c4", Zone: string("ab"[i%2]), Stint: 1, Baton: 5}})
-	}
+	options := config.DefaultOptions()
+	options.Largest, options.BeginS = begin > 0, max(begin, 1)
+	y := newYard(t, options, []config.Team{{Name: "team"}}, slots)
 	add := func(id, shape string, tasks int, cpus float64, run int) {
 		j := ledger.Job{ID: id, Team: "team", Image: "img", MemGB: 1, Shape: shape, Priority: ledger.PrioNormal, CPUs: cpus, Tasks: tasks,
 			OneZone: shape == ledger.ShapeGroup, EstimateS: float64(run), AcceptedMS: y.now.UnixMilli()}
