--- a/internal/dispatch/largest.go
+++ b/internal/dispatch/largest.go
@@ -54,7 +54,8 @@
 			j.saving = zone
 			slog.Debug("saves room", "job", j.ID, "tasks", j.Tasks, "zone", j.saving, "waited_s", now.Sub(j.waitsSince()).Seconds(), "in_s", in, "term", c.term)
 		}
-		ahead[j.saving] += c.save(j, ahead[j.saving] > 0, now)
+		zone := j.saving
+		ahead[zone] += c.save(j, ahead[zone] > 0, now)
 	}
 }
 
@@ -146,12 +147,14 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b place) int { return cmp.Compare(a.in, b.in) })
-	list = list[:min(n, len(list))]
-	urgent := false
-	if len(list) == n && n > 0 && !ahead {
-		need := time.Duration(list[n-1].in * float64(time.Second))
-		urgent = largest.Urgent(now.Sub(j.waitsSince()), need, c.set.Begin)
+	if len(list) < n || n == 0 {
+		// Guards against a gang that waits for a zone whose machines are gone.
+		j.saving = ""
+		return 0
 	}
+	list = list[:n]
+	need := time.Duration(list[n-1].in * float64(time.Second))
+	urgent := !ahead && largest.Urgent(now.Sub(j.waitsSince()), need, c.set.Begin)
 	for _, p := range list {
 		if p.in > 0 {
 			lacks++
@@ -160,7 +163,7 @@
 			c.own(j, p.m, now)
 		}
 	}
-	return lacks + max(n-len(list), 0)
+	return lacks
 }
 
 // saveOne makes the place that is free soonest the own of an array of which no task has begun.
