Whether a machine may hold a job's tasks is asked in one place

From a last read of the change: the same three conditions stood in four places, a term in hear said again what its twin had said, and whether a gang has begun was worked out twice for each task seen to run. No behaviour has changed.

--- a/internal/dispatch/largest.go
+++ b/internal/dispatch/largest.go
@@ -89,7 +89,7 @@
 func (c *Core) saveWhere(j *Job, ahead map[string]int, now time.Time) (zone string, in float64) {
 	byZone := map[string][]float64{}
 	for _, m := range c.fleet.Sorted() {
-		if !c.open(m, now) || !j.permits(m.Type, m.Zone, m.Spot) || !m.Bin.Cap.Fits(j.req) {
+		if !c.mayHold(j, m, now) {
 			continue
 		}
 		zone := m.Zone
@@ -136,7 +136,7 @@
 	}
 	var list []place
 	for _, m := range c.fleet.Sorted() {
-		if j.saving != largest.Everywhere && m.Zone != j.saving || !c.open(m, now) || !j.permits(m.Type, m.Zone, m.Spot) || !m.Bin.Cap.Fits(j.req) {
+		if j.saving != largest.Everywhere && m.Zone != j.saving || !c.mayHold(j, m, now) {
 			continue
 		}
 		for _, in := range c.placesIn(j, m, now) {
@@ -175,7 +175,7 @@
 	var best *fleet.Machine
 	soonest := 0.0
 	for _, m := range c.fleet.Sorted() {
-		if !c.open(m, now) || !j.permits(m.Type, m.Zone, m.Spot) || !m.Bin.Cap.Fits(j.req) || m.Bin.Owed() != (packing.Vec{}) {
+		if !c.mayHold(j, m, now) || m.Bin.Owed() != (packing.Vec{}) {
 			continue
 		}
 		if in := c.roomIn(j, m, now); best == nil || in < soonest {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -78,6 +78,11 @@
 	return len(j.Types) == 0 || slices.Contains(j.Types, typ)
 }
 
+// mayHold says whether a machine may be given tasks of the job, once it has room.
+func (c *Core) mayHold(j *Job, m *fleet.Machine, now time.Time) bool {
+	return c.open(m, now) && j.permits(m.Type, m.Zone, m.Spot) && m.Bin.Cap.Fits(j.req)
+}
+
 // zones counts the job's tasks by zone, on machines and, with planned, meant for them
 // or for room that is its own.
 func (c *Core) zones(j *Job, planned bool) map[string]int {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -146,7 +146,7 @@
 func (s *search) machines(j *Job, zone string) []*vacancy {
 	var list []*vacancy
 	for _, m := range s.c.fleet.Sorted() {
-		if s.c.open(m, s.now) && j.permits(m.Type, m.Zone, m.Spot) && m.Bin.Cap.Fits(j.req) &&
+		if s.c.mayHold(j, m, s.now) &&
 			(zone == "" || m.Zone == zone) && !spared(m, j) {
 			v := &vacancy{m: m}
 			s.look(j, v)
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -81,13 +81,11 @@
 // running notes that a task was seen to run, and tells once, when its job has begun, for
 // what it waited until then: a guarantee that is missed by seconds is missed by one of these.
 func (c *Core) running(j *Job, a *fleet.Attempt, now time.Time) {
-	if j.begun() {
-		c.served.Began(j.ID, now)
-	}
-	if j.began.told || j.held[a.Task.N] != a || a.Try>>24 != c.term {
+	if !j.begun() {
 		return
 	}
-	if !j.begun() {
+	c.served.Began(j.ID, now)
+	if j.began.told || j.held[a.Task.N] != a || a.Try>>24 != c.term {
 		return
 	}
 	j.began.told = true
--- a/internal/fleet/hearing.go
+++ b/internal/fleet/hearing.go
@@ -40,7 +40,7 @@
 		}
 	}
 	switch {
-	case heard, stays && (!sent || heard):
+	case heard, stays && !sent:
 		*h = hearing{}
 	case h.asked && (known || sent || r.Baton < term):
 		if h.misses == 0 {
