A late transaction takes back nothing that a newer one put in

Cause: all writes of a term had the leader's key as their only condition, so one without an answer that was carried out seconds later, after newer ones of the same leader, overwrote them: machines with tasks fell off the record, marks fell, finished tasks were forgotten.

Ruled out: waiting for every unanswered transaction's fate before the next (all writes stand still for as long as it may be late); a counter in the leader's key with every commit (a change more for each).

Change: each value that only the leader writes has its own revision as a condition, also when it is deleted. Where that fails it is read: mostly the write itself was in and its answer lost. A value whose first write had no answer is emptied instead of deleted until the next term, as its condition, that there is none, would hold again. So are how drains stand and the list of machine types.

--- a/internal/dispatch/drainbench_test.go
+++ b/internal/dispatch/drainbench_test.go
@@ -94,7 +94,7 @@
 		} {
 			b.Run(fmt.Sprintf("%s-%d", name, machines), func(b *testing.B) {
 				c, now := floor(b, machines)
-				c.SetDrain(spec, nil)
+				c.SetDrain(spec, nil, 0)
 				for b.Loop() {
 					c.drain(now)
 				}
--- a/internal/dispatch/drains.go
+++ b/internal/dispatch/drains.go
@@ -20,6 +20,7 @@
 	state  drain.State
 	stored drain.State // as the store has it
 	known  bool        // the store has a state
+	stamp  uint64      // at that revision; 0: none
 	wrote  time.Time
 	holds  bool
 	by     time.Time
@@ -39,12 +40,12 @@
 
 // SetDrain takes in what operators asked for, as it is on record; state is nil where there
 // is none of it yet.
-func (c *Core) SetDrain(spec drain.Spec, state *drain.State) {
+func (c *Core) SetDrain(spec drain.Spec, state *drain.State, stamp uint64) {
 	i, found := slices.BinarySearchFunc(c.drains, spec.ID, func(d *drainWork, id string) int { return strings.Compare(d.spec.ID, id) })
 	if !found {
 		d := &drainWork{had: map[string]bool{}}
 		if state != nil {
-			d.state, d.stored, d.known = *state, *state, true
+			d.state, d.stored, d.known, d.stamp = *state, *state, true, stamp
 			for _, name := range state.Hand {
 				d.had[name] = true
 			}
--- a/internal/dispatch/drains_test.go
+++ b/internal/dispatch/drains_test.go
@@ -82,10 +82,10 @@
 			for _, w := range wishes {
 				switch i {
 				case w.from:
-					y.c.SetDrain(w.spec, nil)
+					y.c.SetDrain(w.spec, nil, 0)
 				case w.to:
 					w.spec.Stopped = true
-					y.c.SetDrain(w.spec, nil)
+					y.c.SetDrain(w.spec, nil, 0)
 				}
 			}
 			was := map[*yardShot]bool{}
--- a/internal/dispatch/drainstore.go
+++ b/internal/dispatch/drainstore.go
@@ -51,7 +51,8 @@
 		}
 		d.wrote = now
 		*ws = append(*ws, Write{
-			Ops:   []ledger.Op{{Write: ledger.PrefixDrain + d.spec.ID, Value: state}},
+			Ops: []ledger.Op{{Write: ledger.PrefixDrain + d.spec.ID, Value: state}},
+			Key: ledger.PrefixDrain + d.spec.ID, Own: &d.stamp,
 			Apply: func(uint64) { d.stored, d.known = whole, true },
 			Refused: func() {
 				slog.Error("store: how a drain stands takes more than a value", "drain", d.spec.ID, "term", r.core.term)
@@ -92,7 +93,7 @@
 		c.DropDrain(id)
 	}
 	for _, spec := range found {
-		c.SetDrain(spec, nil)
+		c.SetDrain(spec, nil, 0)
 	}
 }
 
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -18,6 +18,13 @@
 	Apply func(stamp uint64) // at the revision at which it was stored
 	Key   string             // of the condition that is its own
 	Lost  func()             // that condition did not hold
+	// Own is the revision of the key where only the leader writes it, 0 where it is absent,
+	// and is kept up by whoever stores the write. It stands for Lost: the key is read then.
+	// Guards against a write without an answer that is carried out after newer ones of the
+	// same term, which the leader's key alone lets pass.
+	Own *uint64
+	// Late is called when a first write has had no answer.
+	Late func()
 	// Refused is called when the store will never take it, as it is too large.
 	Refused func()
 }
@@ -125,7 +132,7 @@
 		slog.Error("unreadable record", "key", row.Key, "err", err)
 		return false
 	}
-	s.Load(row.Key, entries, len(row.Value))
+	s.Load(row.Key, entries, len(row.Value)).Stamp = row.Stamp
 	for id, v := range entries {
 		if err := each(id, v); err != nil {
 			slog.Error("unreadable record", "key", row.Key, "id", id, "err", err)
@@ -269,7 +276,7 @@
 		op, _, ids := s.Take(b)
 		entries, _ := op.Value.(map[string]json.RawMessage)
 		stored, refused := taken(ids, entries)
-		*ws = append(*ws, Write{Ops: []ledger.Op{op}, Apply: stored, Refused: func() { refused(s.Refused(b)) }})
+		*ws = append(*ws, Write{Ops: []ledger.Op{op}, Key: b.Key, Own: &b.Stamp, Late: b.Late, Apply: stored, Refused: func() { refused(s.Refused(b)) }})
 	}
 	return true
 }
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -285,7 +285,7 @@
 			}
 		}
 		if a["plan"] == "" {
-			c.SetDrain(spec, nil)
+			c.SetDrain(spec, nil, 0)
 		}
 		return or2(out, "nothing runs there")
 	case "stop-drain":
@@ -293,7 +293,7 @@
 			if d.spec.ID == rest[0] {
 				spec := d.spec
 				spec.Stopped = true
-				c.SetDrain(spec, nil)
+				c.SetDrain(spec, nil, 0)
 			}
 		}
 		return nil
--- a/internal/lead/drains.go
+++ b/internal/lead/drains.go
@@ -14,21 +14,22 @@
 
 // loadDrains reads what operators asked for, and how far earlier terms came with it.
 func (l *Leader) loadDrains(ctx context.Context, core *dispatch.Core) error {
-	states := map[string]*drain.State{}
+	states, stamps := map[string]*drain.State{}, map[string]uint64{}
 	if _, err := l.store.List(ctx, ledger.PrefixDrain, func(r ledger.Row) error {
 		var s drain.State
 		if err := json.Unmarshal(r.Value, &s); err != nil {
 			slog.Error("unreadable record", "key", r.Key, "err", err)
 			return nil
 		}
-		states[strings.TrimPrefix(r.Key, ledger.PrefixDrain)] = &s
+		id := strings.TrimPrefix(r.Key, ledger.PrefixDrain)
+		states[id], stamps[id] = &s, r.Stamp
 		return nil
 	}); err != nil {
 		return err
 	}
 	_, err := l.store.List(ctx, ledger.PrefixDrains, func(r ledger.Row) error {
 		if spec, ok := dispatch.ReadDrain(r.Key, r.Value); ok {
-			core.SetDrain(spec, states[spec.ID])
+			core.SetDrain(spec, states[spec.ID], stamps[spec.ID])
 		}
 		return nil
 	})
@@ -44,7 +45,7 @@
 			if e.Write == "" {
 				l.core.DropDrain(strings.TrimPrefix(e.Delete, ledger.PrefixDrains))
 			} else if spec, ok := dispatch.ReadDrain(e.Write, e.Value); ok {
-				l.core.SetDrain(spec, nil)
+				l.core.SetDrain(spec, nil, 0)
 			}
 		}
 	})
--- a/internal/lead/flush.go
+++ b/internal/lead/flush.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -50,7 +52,8 @@
 
 // commit stores a batch, again and again until it is in or cannot be any more.
 // It returns false when the term is over. Every write is the same when
-// repeated, so an answer that was lost does no harm.
+// repeated, and fails once it, or a newer one of its key, was carried out; so
+// neither an answer that was lost nor a write that is late does any harm.
 func (l *Leader) commit(ctx context.Context, ws []dispatch.Write, ops int) bool {
 	pause := l.set.Report / 20
 	for {
@@ -62,7 +65,11 @@
 		seen := map[string]bool{}
 		for _, w := range ws {
 			all = append(all, w.Ops...)
-			for _, c := range w.When {
+			conds := w.When
+			if w.Own != nil {
+				conds = []ledger.Cond{{Key: w.Key, Stamp: *w.Own}}
+			}
+			for _, c := range conds {
 				if !seen[c.Key] {
 					seen[c.Key] = true
 					when = append(when, c)
@@ -75,6 +82,11 @@
 		case err == nil:
 			l.mu.Lock()
 			for _, w := range ws {
+				if w.Own != nil {
+					if *w.Own = stamp; w.Ops[0].Delete != "" {
+						*w.Own = 0
+					}
+				}
 				w.Apply(stamp)
 			}
 			close(l.logged)
@@ -89,16 +101,28 @@
 				return false
 			}
 			var rest []dispatch.Write
-			l.mu.Lock()
+			ours := false
 			for _, w := range ws {
-				if w.Key != "" && slices.Contains(conflict.Failed, w.Key) {
+				switch failed := w.Key != "" && slices.Contains(conflict.Failed, w.Key); {
+				case failed && w.Own != nil:
+					ours = true
+					in, err := l.reconcile(ctx, w)
+					if err != nil {
+						return false
+					}
+					if !in {
+						rest = append(rest, w)
+					}
+				case failed:
+					ours = true
+					l.mu.Lock()
 					w.Lost()
-					continue
+					l.mu.Unlock()
+				default:
+					rest = append(rest, w)
 				}
-				rest = append(rest, w)
 			}
-			l.mu.Unlock()
-			if len(rest) == len(ws) {
+			if !ours {
 				slog.Error("store: conflict over nothing of ours", "failed", strings.Join(conflict.Failed, " "))
 			}
 			if ws = rest; len(ws) == 0 {
@@ -108,6 +132,15 @@
 			return l.split(ctx, ws, err)
 		default:
 			slog.Debug("store: commit failed", "err", err)
+			if !errors.Is(err, ledger.ErrRefused) && !errors.Is(err, ledger.ErrThrottled) {
+				l.mu.Lock()
+				for _, w := range ws {
+					if w.Own != nil && *w.Own == 0 && w.Late != nil {
+						w.Late()
+					}
+				}
+				l.mu.Unlock()
+			}
 		}
 		if link.Sleep(ctx, pause/2+rand.N(pause)) != nil {
 			return false
@@ -116,6 +149,41 @@
 	}
 }
 
+// reconcile reads a key that only the leader writes and that is not at the revision where it
+// was known to be: mostly the write itself was carried out, and its answer lost. in says so;
+// otherwise it is repeated on what is there now.
+func (l *Leader) reconcile(ctx context.Context, w dispatch.Write) (in bool, err error) {
+	for {
+		row, err := l.store.Get(ctx, w.Key)
+		if err == nil {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if *w.Own = 0; row != nil {
+				*w.Own = row.Stamp
+			}
+			if in = stands(w.Ops[0], row); in {
+				w.Apply(*w.Own)
+			} else {
+				slog.Error("store: a value is neither what was there nor what was written", "key", w.Key, "stamp", *w.Own, "term", l.term)
+			}
+			return in, nil
+		}
+		if err := link.Sleep(ctx, l.set.Report/16+rand.N(l.set.Report/16)); err != nil {
+			return false, err
+		}
+	}
+}
+
+// stands says whether a change is in the store, whose form of a value may be another.
+func stands(op ledger.Op, row *ledger.Row) bool {
+	if op.Delete != "" || row == nil {
+		return (op.Delete != "") == (row == nil)
+	}
+	raw, err := json.Marshal(op.Value)
+	var ours, theirs any
+	return err == nil && json.Unmarshal(raw, &ours) == nil && json.Unmarshal(row.Value, &theirs) == nil && reflect.DeepEqual(ours, theirs)
+}
+
 // split stores one by one what the store refused as one commit. Guards against a
 // limit that falls without notice: a commit that is too large is refused however
 // often it is repeated, and a leader that repeats it does nothing else any more.
--- a/internal/lead/renting.go
+++ b/internal/lead/renting.go
@@ -19,6 +19,7 @@
 // they have changed in kind.
 func (l *Leader) prices(ctx context.Context) {
 	var stored string
+	stamp, known := uint64(0), false // of the record
 	pause := l.set.Report
 	for ctx.Err() == nil {
 		types, err := l.cloud.Types(ctx)
@@ -44,8 +45,19 @@
 			slog.Warn("store: the list of machine types takes more than a value", "types", len(types), "term", l.term)
 			stored = string(raw)
 		} else if string(raw) != stored {
-			if _, err := l.store.Commit(ctx, l.mine(), []ledger.Op{{Write: ledger.KeyTypes, Value: value}}); err == nil {
-				stored = string(raw)
+			// Guards against a list that is stored late, after a newer one.
+			if !known {
+				if row, err := l.store.Get(ctx, ledger.KeyTypes); err == nil {
+					if stamp, known = 0, true; row != nil {
+						stamp = row.Stamp
+					}
+				}
+			}
+			if known {
+				e, err := l.store.Commit(ctx, append(l.mine(), ledger.Cond{Key: ledger.KeyTypes, Stamp: stamp}), []ledger.Op{{Write: ledger.KeyTypes, Value: value}})
+				if known = err == nil; known {
+					stored, stamp = string(raw), e
+				}
 			}
 		}
 		if link.Sleep(ctx, 15*pause) != nil {
--- a/internal/ledger/shelf.go
+++ b/internal/ledger/shelf.go
@@ -19,12 +19,16 @@
 
 // Box is one value: records by id.
 type Box struct {
-	Key     string
+	Key string
+	// Stamp is the revision at which the service has it, 0 where it has not: the condition
+	// of its next write or delete.
+	Stamp   uint64
 	entries map[string]json.RawMessage
 	room    map[string]int // bytes kept for each record
 	size    int
 	changed bool
 	frozen  bool // too large to be written again: it is only read, and deleted in the end
+	late    bool // its first write may be carried out at any time
 }
 
 // fillShare is how far a value is filled: the rest is for what escapes take.
@@ -106,7 +110,7 @@
 // Load takes in a box as the service has it, of the given size. A record that is in
 // two boxes stays in both: which is newer cannot be told. One in a box that is too
 // large is in no box where it could be written.
-func (s *Shelf) Load(key string, entries map[string]json.RawMessage, bytes int) {
+func (s *Shelf) Load(key string, entries map[string]json.RawMessage, bytes int) *Box {
 	b := &Box{
 		Key: key, entries: maps.Clone(entries), room: map[string]int{},
 		frozen: float64(bytes) > s.most, changed: len(entries) == 0,
@@ -119,8 +123,15 @@
 			s.where[id] = b
 		}
 	}
+	return b
 }
 
+// Late notes that the first write of a box had no answer: it may be carried out yet. Guards
+// against a value that comes back after it was deleted: the condition of a first write, that
+// there is none, holds again then. Such a box is emptied instead, for the next leader to
+// delete, to whom nothing of this one's comes late.
+func (b *Box) Late() { b.late = true }
+
 // Has says whether a record of that id has its place in a box that can be written.
 func (s *Shelf) Has(id string) bool { return s.where[id] != nil }
 
@@ -177,10 +188,10 @@
 }
 
 // Take returns the change that stores a box as it is now, its size in bytes, and
-// the ids it holds. A box without records is deleted and takes no more.
+// the ids it holds. A box without records is mostly deleted and takes no more.
 func (s *Shelf) Take(b *Box) (op Op, bytes int, ids []string) {
 	b.changed = false
-	if len(b.entries) == 0 {
+	if len(b.entries) == 0 && !b.late {
 		for i, x := range s.boxes {
 			if x == b {
 				s.boxes = append(s.boxes[:i], s.boxes[i+1:]...)
--- /dev/null
+++ b/internal/standin/late_test.go
@@ -0,0 +1,168 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"drumpick/internal/ledger"
+)
+
+// recorder holds what a leader has on record, at every change of the store, against what the
+// next one would need: no machine with tasks is missing, no mark of an open job falls, no
+// finished task is forgotten, and what was deleted does not come back.
+type recorder struct {
+	c       *cluster
+	marks   map[string]int
+	done    map[string]int
+	deleted map[string]bool
+	failed  map[string]bool
+}
+
+func record(c *cluster) *recorder {
+	r := &recorder{c: c, marks: map[string]int{}, done: map[string]int{}, deleted: map[string]bool{}, failed: map[string]bool{}}
+	c.state.Keep = r.changed
+	return r
+}
+
+func (r *recorder) fail(format string, args ...any) {
+	if text := fmt.Sprintf(format, args...); !r.failed[text] {
+		r.failed[text] = true
+		r.c.t.Error(text)
+	}
+}
+
+// entries reads all records under a prefix; the store is locked.
+func (r *recorder) entries(prefix string, each func(id string, v json.RawMessage)) {
+	for key, row := range r.c.state.rows {
+		if strings.HasPrefix(key, prefix) {
+			all, err := ledger.Entries(prefix, row)
+			if err != nil {
+				r.fail("%s: %v", key, err)
+			}
+			for id, v := range all {
+				each(id, v)
+			}
+		}
+	}
+}
+
+func (r *recorder) changed(ch Change) {
+	for _, key := range ch.Gone {
+		r.deleted[key] = r.deleted[key] || !strings.HasPrefix(key, ledger.KeyLeader)
+	}
+	for _, row := range ch.Writes {
+		if r.deleted[row.Key] {
+			r.fail("%s is back after it was deleted", row.Key)
+		}
+	}
+	hosts, marks, done := map[string]bool{}, map[string]int{}, map[string]int{}
+	r.entries(ledger.PrefixHosts, func(id string, _ json.RawMessage) { hosts[id] = true })
+	r.entries(ledger.PrefixSent, func(id string, v json.RawMessage) {
+		n, _ := ledger.ParseMark(v)
+		marks[id] = max(marks[id], n)
+	})
+	r.entries(ledger.PrefixDone, func(id string, v json.RawMessage) {
+		var ranges string
+		_ = json.Unmarshal(v, &ranges)
+		job, _, _ := ledger.ParseChunkID(id)
+		_ = ledger.ParseRanges(ranges, func(int) { done[job]++ })
+	})
+	for id, n := range r.marks {
+		if _, open := r.c.state.rows[ledger.OpenKey(id)]; open && marks[id] < n {
+			r.fail("the mark of %s fell from %d to %d", id, n, marks[id])
+		}
+	}
+	for id, n := range r.done {
+		if _, open := r.c.state.rows[ledger.OpenKey(id)]; open && done[id] < n {
+			r.fail("%d of %d finished tasks of %s are forgotten", n-done[id], n, id)
+		}
+	}
+	r.marks, r.done = marks, done
+	for _, m := range r.c.world.Machines() {
+		r.c.world.mu.Lock()
+		holds := ""
+		for _, s := range m.tasks {
+			if s.status != "ended" {
+				holds = s.task
+			}
+		}
+		r.c.world.mu.Unlock()
+		if holds != "" && !hosts[m.Host] {
+			r.fail("%s has %s and is not on record", m.Host, holds)
+		}
+	}
+}
+
+// Transactions without an answer are carried out seconds later, after newer ones of the same
+// controller, while machines come and go and leaders end beside a zone that nobody reaches.
+// As it was, all of a term's writes had the leader's key as their only condition: a late one
+// took back what newer ones had put in.
+func TestLateWrites(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := rand.New(rand.NewPCG(seed, 35))
+			playWith(t, func(c *cluster) { c.world.Capacity = 12 }, func(c *cluster) {
+				c.world.RunFor = mixed
+				record(c)
+				late := func() {
+					for i := range 3 {
+						if n := c.node(i); n != nil {
+							own := rand.New(rand.NewPCG(seed, uint64(i)))
+							n.client.LateWrites(func() (time.Duration, bool) {
+								return 2*time.Second + time.Duration(own.IntN(10_000))*time.Millisecond, own.IntN(5) < 2
+							})
+						}
+					}
+				}
+				sleep(2)
+				late()
+				for n := range 12 {
+					c.submit(n%3, ledger.Job{ID: fmt.Sprint("j-", n+1), Tasks: 4 + r.IntN(60), CPUs: float64(1 + r.IntN(4)), EstimateS: 8})
+					if n%4 == 3 {
+						c.ask(n%3, "withdraw", fmt.Sprint("j-", n+1))
+						c.forget(fmt.Sprint("j-", n+1))
+					}
+					sleep(float64(1 + r.IntN(14)))
+					switch ms := c.world.Machines(); r.IntN(4) {
+					case 0:
+						if len(ms) > 0 {
+							ms[r.IntN(len(ms))].Die()
+						}
+					case 1:
+						l := max(c.leading(), 0)
+						c.world.Cut("b", true)
+						c.kill(l)
+						sleep(float64(r.IntN(8)))
+						c.boot(l)
+						late()
+						c.world.Cut("b", false)
+					}
+				}
+				for i := range 3 {
+					c.node(i).client.LateWrites(nil)
+				}
+				sleep(240)
+				c.known()
+				c.noGhosts()
+				if len(c.asked) == 0 {
+					t.Error("no job was accepted")
+				}
+			})
+		})
+	}
+}
+
+// forget takes a job from those that are asked about in the end.
+func (c *cluster) forget(id string) {
+	for i, x := range c.asked {
+		if x == id {
+			c.asked = append(c.asked[:i:i], c.asked[i+1:]...)
+			return
+		}
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -376,6 +376,8 @@
 	hangs          time.Duration // how long calls hang that nobody answers; 0: they are answered
 	loseAnswers    int           // so many commits are executed without an answer
 	late           time.Duration // and so late
+	lateWrites     func() (time.Duration, bool)
+	slow           time.Duration // by how much later calls get there
 }
 
 // Client returns the connection of a controller.
@@ -390,6 +392,24 @@
 	c.mu.Unlock()
 }
 
+// LateWrites decides for each commit whether it gets no answer and is carried out that much
+// later, after newer ones; nil: none does.
+func (c *Client) LateWrites(pick func() (time.Duration, bool)) {
+	c.mu.Lock()
+	c.lateWrites = pick
+	c.mu.Unlock()
+}
+
+// Slow makes every call take so much longer; 0: it does not.
+func (c *Client) Slow(d time.Duration) {
+	c.mu.Lock()
+	c.slow = d
+	c.mu.Unlock()
+}
+
+// callPatience is how long a caller waits for an answer, as the daemon's settings have it.
+const callPatience = time.Second
+
 // Hang makes every call hang for so long without an answer; 0: they are answered again.
 func (c *Client) Hang(d time.Duration) {
 	c.mu.Lock()
@@ -416,9 +436,18 @@
 const latency = 5 * time.Millisecond
 
 func (c *Client) pass(ctx context.Context) error {
-	if err := link.Sleep(ctx, max(latency, c.hanging())); err != nil {
+	c.mu.Lock()
+	slow := c.slow
+	c.mu.Unlock()
+	if err := link.Sleep(ctx, max(latency, c.hanging(), min(slow, callPatience))); err != nil {
 		return err
 	}
+	if slow >= callPatience {
+		c.mu.Lock()
+		c.failed = time.Now()
+		c.mu.Unlock()
+		return fmt.Errorf("%w: too slow", ledger.ErrNoAnswer)
+	}
 	refused := c.s.away(c.name)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -505,6 +534,17 @@
 
 // Commit applies a transaction.
 func (c *Client) Commit(ctx context.Context, when []ledger.Cond, ops []ledger.Op) (uint64, error) {
+	c.mu.Lock()
+	slow, cut := c.slow, c.cut
+	c.mu.Unlock()
+	if slow >= callPatience && !cut {
+		// It gets there all the same, when nobody waits for it any more.
+		time.AfterFunc(slow, func() {
+			if !c.s.away(c.name) {
+				_, _ = c.s.commit(when, ops)
+			}
+		})
+	}
 	if err := c.pass(ctx); err != nil {
 		return 0, err
 	}
@@ -512,6 +552,8 @@
 	lose, late := c.loseAnswers > 0, c.late
 	if lose {
 		c.loseAnswers--
+	} else if c.lateWrites != nil {
+		late, lose = c.lateWrites()
 	}
 	c.mu.Unlock()
 	if lose {
