Cancellations told elsewhere reach a leader that the store does not answer

Cause: a leader that the store refuses alone, before an outage of all, had to let every lease lapse as soon as any controller had told of a cancellation, or read of an old one for a poll.

Change: package cancellation. Each controller logs what it told, before it tells it, and lists it, with how far back the list is whole, for a leader out of touch with the store. Where all lists reach back to its last contact the leader ends these jobs before it renews any lease on that word, and goes on with the rest. Lists are bounded; what makes no sense is no word. Fields on back are optional.

--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -74,8 +74,8 @@
 	}
 	backApp := newApp(res.FDLimit/16, 5*time.Minute)
 	handlers := peer.Handlers{
-		Status: func(word frontier.Word) peer.Status {
-			return peer.StatusOf(cfg.Node, store, server.Quiet()).Witnessed(&witness, word, server.Renewed())
+		Status: func(ask peer.Inquiry) peer.Status {
+			return peer.StatusOf(cfg.Node, store, server.Told(), ask).Witnessed(&witness, ask.Word, server.Renewed())
 		},
 		Progress: func(id string) peer.Progress {
 			l := leader.Load()
@@ -122,7 +122,7 @@
 	go server.Watch(ctx)
 	go learnTypes(ctx, server, store, cloud, report)
 	go ten.Run(ctx, func(ctx context.Context, term uint64) {
-		l := lead.New(cfg, store, cloud, ten, peers, workers, &witness, server.Quiet, term)
+		l := lead.New(cfg, store, cloud, ten, peers, workers, &witness, server.Told(), term)
 		leader.Store(l)
 		defer leader.Store(nil)
 		l.Run(ctx)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"drumpick/internal/cancellation"
 	"drumpick/internal/config"
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
@@ -65,6 +66,7 @@
 	local  func() Local  // nil when this process does not lead
 	reads  *rate.Limiter // what polls may take of the store's request rate
 
+	told    *cancellation.Log
 	crowd   crowd
 	relays  relays
 	renewed atomic.Value // time.Time: when a report was last answered here as leader, or the start
@@ -76,7 +78,6 @@
 	needs  map[string][]string    // jobs that an accepted one needs
 	doomed map[string]bool        // jobs with a cancelled one before them
 	known  map[string]bool        // jobs that were accepted, as far as remembered
-	told   time.Time              // when a user was last told of a cancellation
 	served bool                   // the store serves another controller, but not this one
 	asked  bool                   // the others were asked since the store failed this one
 	alone  bool                   // neither the store nor any other controller answers
@@ -89,7 +90,7 @@
 		cfg: cfg, store: store, peers: peers, leader: leader, local: local,
 		reads: rate.NewLimiter(rate.Limit(share/float64(max(cfg.Facts.Nodes, 1))), max(int(share), 1)),
 		over:  map[string]ledger.Over{}, known: map[string]bool{}, clear: map[string]time.Time{},
-		needs: map[string][]string{}, doomed: map[string]bool{}, told: time.Now(),
+		needs: map[string][]string{}, doomed: map[string]bool{}, told: cancellation.NewLog(time.Now()),
 	}
 	s.renewed.Store(time.Now())
 	s.relays.gather = peer.NewGather(cfg.Report()/windowShare, s.passOn)
@@ -115,13 +116,8 @@
 	return len(s.types) > 0
 }
 
-// Quiet is how long ago a user was last told of a cancellation, or this process
-// started.
-func (s *Server) Quiet() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Since(s.told)
-}
+// Told is what users were told here of cancellations.
+func (s *Server) Told() *cancellation.Log { return s.told }
 
 // Renewed is how long ago this controller may last have renewed a worker's lease, or this
 // process started.
@@ -397,8 +393,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o.Status == ledger.StatusCancelled {
-		s.told = time.Now()
-		clear(s.clear) // it may be before any of them
+		s.told.Add(id, time.Now()) // before anybody is told
+		clear(s.clear)             // it may be before any of them
 	}
 	forgetHalf(s.over)
 	s.over[id] = o
--- a/internal/lead/lapse.go
+++ b/internal/lead/lapse.go
@@ -8,6 +8,7 @@
 	"drumpick/internal/config"
 	"drumpick/internal/frontier"
 	"drumpick/internal/link"
+	"drumpick/internal/peer"
 )
 
 // whoHeld lists who may have renewed leases that this term has not; none: it is not known.
@@ -47,7 +48,7 @@
 		}
 		// What this process answered in an earlier term of its own, it did before this one.
 		since := map[string]time.Duration{l.cfg.Node: time.Since(l.began)}
-		answers, _ := l.peers.Tell(ctx, frontier.Word{})
+		answers, _ := l.peers.Tell(ctx, peer.Inquiry{})
 		for _, a := range answers {
 			if a.RenewedMS != nil {
 				since[a.Node] = time.Duration(*a.RenewedMS) * time.Millisecond
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"drumpick/internal/cancellation"
 	"drumpick/internal/config"
 	"drumpick/internal/dispatch"
 	"drumpick/internal/fleet"
@@ -48,7 +49,7 @@
 }
 
 type Peers interface {
-	Tell(ctx context.Context, word frontier.Word) (answers []peer.Status, all bool)
+	Tell(ctx context.Context, ask peer.Inquiry) (answers []peer.Status, all bool)
 }
 
 // Leader drives a dispatch.Core through one term: it feeds events in and carries the
@@ -61,8 +62,8 @@
 	tenure  *tenure.Tenure
 	peers   Peers
 	workers Workers
-	witness *frontier.Witness    // this controller's own
-	quiet   func() time.Duration // since a user was last told of a cancellation here
+	witness *frontier.Witness // this controller's own
+	told    *cancellation.Log // what users were told here of cancellations
 
 	term   uint64
 	began  time.Time
@@ -74,24 +75,26 @@
 	wake   chan struct{} // something is to be stored
 	over   atomic.Bool   // the term is over, or given up
 	logged chan struct{} // closed, and replaced, when machines have come on record
+	ended  ended         // jobs that others said are cancelled
 
 	contactMu sync.Mutex
-	contact   time.Time // until then, no cancellation can have been missed
-	vouched   time.Time // until then, nobody else can lead, grant or not
+	bound     cancellation.Bound // until when leases may be renewed
+	vouched   time.Time          // until then, nobody else can lead, grant or not
 	word      frontier.Word
 	loose     time.Time // until then, all others have heard that the marks are loose
 	swore     time.Time // when a record was last made that the marks are whole
-	told      time.Time // when the others were last told how they stand; for announce alone
+	spoke     time.Time // when the others were last told how they stand; for announce alone
 }
 
 // New prepares a term; Run serves it.
-func New(cfg *config.Config, store Store, cloud Cloud, ten *tenure.Tenure, peers Peers, workers Workers, witness *frontier.Witness, quiet func() time.Duration, term uint64) *Leader {
+func New(cfg *config.Config, store Store, cloud Cloud, ten *tenure.Tenure, peers Peers, workers Workers, witness *frontier.Witness, told *cancellation.Log, term uint64) *Leader {
 	set := dispatch.SettingsOf(cfg)
 	return &Leader{
-		cfg: cfg, set: set, store: store, cloud: cloud, tenure: ten, peers: peers, workers: workers, witness: witness, quiet: quiet,
+		cfg: cfg, set: set, store: store, cloud: cloud, tenure: ten, peers: peers, workers: workers, witness: witness, told: told,
 		term: term, began: time.Now(), core: dispatch.NewCore(set, term, time.Now()),
 		loaded: make(chan struct{}), wake: make(chan struct{}, 1), logged: make(chan struct{}),
-		word: frontier.Word{Term: term, Epoch: term, Node: cfg.Node},
+		word:  frontier.Word{Term: term, Epoch: term, Node: cfg.Node},
+		bound: cancellation.NewBound(config.Seconds(cfg.Facts.Workers.CancelS), set.Lease),
 	}
 }
 
@@ -141,6 +144,7 @@
 		// was missed.
 		now := time.Now()
 		l.mu.Lock()
+		defer l.mu.Unlock()
 		for _, e := range events {
 			if e.Write != "" {
 				l.addJob(l.core, e.Write, e.Value, e.Stamp, now, now)
@@ -151,7 +155,7 @@
 		if len(events) > 0 && l.granted() {
 			l.core.Replan(now)
 		}
-		l.mu.Unlock()
+		l.ended.seen(asked)
 		l.touched(asked)
 	})
 }
--- a/internal/lead/outage.go
+++ b/internal/lead/outage.go
@@ -5,8 +5,12 @@
 	"log/slog"
 	"time"
 
+	"drumpick/internal/cancellation"
 	"drumpick/internal/config"
 	"drumpick/internal/link"
+	"drumpick/internal/peer"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // mayStart says whether tasks may be started at this moment: the grant is surely
@@ -28,33 +32,69 @@
 // of touch with the store may miss cancellations: it stops renewing leases
 // early enough for them to lapse in time.
 func (l *Leader) supports(now time.Time) bool {
-	w := l.cfg.Facts.Workers
-	span := config.Seconds(w.CancelS) - l.set.Lease
-	span -= config.Drift(span) + span/10
 	l.contactMu.Lock()
 	defer l.contactMu.Unlock()
-	return now.Before(l.contact.Add(span))
+	return l.bound.Renews(now)
 }
 
 func (l *Leader) touched(at time.Time) {
 	l.contactMu.Lock()
-	if at.After(l.contact) {
-		l.contact = at
-	}
+	l.bound.Seen(at)
 	l.contactMu.Unlock()
 }
 
 func (l *Leader) lastContact() time.Time {
 	l.contactMu.Lock()
 	defer l.contactMu.Unlock()
-	return l.contact
+	return l.bound.Contact()
+}
+
+// ended are jobs that other controllers told users to be cancelled while the store did not
+// answer us, until its log has come past that. The leader's lock guards it.
+type ended struct {
+	ids map[string]bool
+	at  time.Time // when that was last heard
+}
+
+func (e *ended) has(id string) bool { return e.ids[id] }
+
+// seen notes that all that the store had when it was asked has been taken in.
+func (e *ended) seen(asked time.Time) {
+	if asked.After(e.at) {
+		e.ids = nil
+	}
 }
 
-// confirm asks the others while the store does not answer us. If no controller
-// has told a user of a cancellation since our last contact, we can have missed
-// none, and leases may be renewed for longer. A controller that has restarted
-// answers only for the time since, so a gap ends it. If one is served while we
-// are not, we are the odd one out and step down.
+// cancelled ends jobs on the others' word. It is done before any lease is renewed on that
+// word: a report that is answered from then on is answered with the kills.
+func (l *Leader) cancelled(ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, id := range ids {
+		if l.ended.ids == nil {
+			l.ended.ids = map[string]bool{}
+		}
+		if !l.ended.ids[id] {
+			l.ended.ids[id] = true
+			n++
+			l.core.CloseJob(id) // its over record will tell those behind it
+		}
+	}
+	l.ended.at = time.Now()
+	if n > 0 {
+		byWord.Add(n)
+		slog.Info("jobs cancelled by the word of other controllers, as the store does not answer", "jobs", n, "term", l.term)
+	}
+}
+
+var byWord = metrics.NewCounter("drumpick_jobs_cancelled_by_word_total")
+
+// confirm asks the others while the store does not answer us. What they told users of
+// cancellations since our last contact they tell us as well; where all have, leases may be
+// renewed for longer, those of the cancelled jobs' machines too, as their tasks are killed. A
+// controller that has restarted answers only for the time since, so a gap ends it. If one is
+// served while we are not, we are the odd one out and step down.
 func (l *Leader) confirm(ctx context.Context) {
 	odd := time.Time{} // since when others are served and we are not
 	// Words are told one after the other, from here alone. Guards against an earlier word
@@ -68,15 +108,20 @@
 		asked := time.Now()
 		_, until := l.tenure.Term()
 		word := l.loosen()
-		answers, all := l.peers.Tell(ctx, word)
+		l.contactMu.Lock()
+		back := l.bound.Asks(asked, l.cfg.Timing().Peer)
+		l.contactMu.Unlock()
+		answers, all := l.peers.Tell(ctx, peer.Inquiry{Word: word, ToldMS: back.Milliseconds()})
 		l.loosened(word, answers, all, asked)
-		silent, ended := time.Since(l.lastContact()), time.Since(until)
-		served, confirmed, vouched := false, all && l.quiet() >= silent, all
+		now := time.Now()
+		own := l.told.Word(back, now)
+		words := []cancellation.Word{{Told: &own, Quiet: l.told.Quiet(now)}}
+		ended := time.Since(until)
+		served, vouched := false, all
 		for _, a := range answers {
 			since := time.Duration(a.StoreSilentMS) * time.Millisecond
 			served = served || since < l.set.Report/2 && !a.Failing
-			quiet := time.Duration(a.QuietMS) * time.Millisecond
-			confirmed = confirmed && quiet-config.Drift(quiet) >= silent
+			words = append(words, cancellation.Word{Told: a.Told, Quiet: time.Duration(a.QuietMS) * time.Millisecond})
 			// A controller that the store has never answered since its start
 			// cannot lead either, however short that is.
 			vouched = vouched && (!a.Answered || since-config.Drift(since) >= ended)
@@ -93,7 +138,11 @@
 			l.tenure.Resign()
 			return
 		}
-		if confirmed {
+		l.contactMu.Lock()
+		ids, covered := l.bound.Covers(words, now)
+		l.contactMu.Unlock()
+		if all && covered {
+			l.cancelled(ids)
 			l.touched(asked)
 		}
 		if vouched && !served {
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -72,6 +72,11 @@
 		slog.Error("unreadable record", "key", key, "err", err)
 		return
 	}
+	// Guards against an answer of the store from before a cancellation that comes in after
+	// the others' word for it.
+	if l.ended.has(rec.ID) {
+		return
+	}
 	core.AddJob(rec, stamp, now, wall)
 }
 
--- a/internal/lead/witness.go
+++ b/internal/lead/witness.go
@@ -23,7 +23,7 @@
 	}
 	ask := frontier.Word{Term: l.term}
 	words, last := []frontier.Word{l.witness.Hear(ask)}, l.witness.Settled()
-	answers, _ := l.peers.Tell(ctx, ask)
+	answers, _ := l.peers.Tell(ctx, peer.Inquiry{Word: ask})
 	for _, a := range answers {
 		if a.Heard != nil {
 			words = append(words, *a.Heard)
@@ -139,10 +139,10 @@
 	l.word.Settled = settled
 	word := l.word
 	l.contactMu.Unlock()
-	if word.Seq > 0 && (changed || time.Since(l.told) >= l.set.Report) {
-		l.told = time.Now()
+	if word.Seq > 0 && (changed || time.Since(l.spoke) >= l.set.Report) {
+		l.spoke = time.Now()
 		l.witness.Hear(word)
-		l.peers.Tell(ctx, word)
+		l.peers.Tell(ctx, peer.Inquiry{Word: word})
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"drumpick/internal/cancellation"
 	"drumpick/internal/config"
 	"drumpick/internal/frontier"
 	"drumpick/internal/link"
@@ -25,6 +26,9 @@
 	Answered      bool   `msgpack:"answered"`  // the store has answered since the start
 	Failing       bool   `msgpack:"failing"`   // its last request failed
 	QuietMS       int64  `msgpack:"quiet_ms"`  // since a user was last told of a cancellation, or since the start
+	// Told is which cancellations that were, where it was asked. Versions that do not tell
+	// leave it out.
+	Told *cancellation.Told `msgpack:"told,omitempty"`
 	// Heard is what it remembers of leaders' words about their marks. Versions without
 	// marks leave it out.
 	Heard *frontier.Word `msgpack:"heard,omitempty"`
@@ -35,13 +39,18 @@
 	RenewedMS *int64 `msgpack:"renewed_ms,omitempty"`
 }
 
-// StatusOf says how the store serves a controller; quiet is since a user was
-// last told of a cancellation there.
+// StatusOf says how the store serves a controller, and what that has told of cancellations.
 func StatusOf(node string, store interface {
 	Health() (lastOK time.Time, failing bool, started time.Time)
-}, quiet time.Duration) Status {
+}, told *cancellation.Log, ask Inquiry) Status {
 	lastOK, failing, started := store.Health()
-	s := Status{Node: node, Answered: !lastOK.IsZero(), Failing: failing, QuietMS: quiet.Milliseconds()}
+	now := time.Now()
+	s := Status{Node: node, Answered: !lastOK.IsZero(), Failing: failing, QuietMS: told.Quiet(now).Milliseconds()}
+	// Guards against a span that no clock could have measured: it asks for all there is.
+	if span := time.Duration(min(ask.ToldMS, mostAskedMS)) * time.Millisecond; span > 0 {
+		word := told.Word(span, now)
+		s.Told = &word
+	}
 	if !s.Answered {
 		lastOK = started
 	}
@@ -49,6 +58,9 @@
 	return s
 }
 
+// mostAskedMS bounds how far back a controller is asked for what it told.
+const mostAskedMS = 24 * 3600 * 1000
+
 // Witnessed adds what a controller remembers of leaders' words, having heard one more, and
 // how long ago it may last have renewed a lease.
 func (s Status) Witnessed(w *frontier.Witness, word frontier.Word, renewed time.Duration) Status {
@@ -57,6 +69,14 @@
 	return s
 }
 
+// Inquiry is a leader's word about its marks, along with which a controller is asked how the
+// store serves it.
+type Inquiry struct {
+	frontier.Word
+	// ToldMS asks for the cancellations that it told so long ago or later; 0: for none.
+	ToldMS int64 `msgpack:"told_ms,omitempty"`
+}
+
 // Ask names a job.
 type Ask struct {
 	ID string `msgpack:"id"`
@@ -145,11 +165,11 @@
 
 // Status asks every other controller. all is true when every one answered.
 func (p *Peers) Status(ctx context.Context) (answers []Status, all bool) {
-	return p.Tell(ctx, frontier.Word{})
+	return p.Tell(ctx, Inquiry{})
 }
 
 // Tell is Status with a leader's word about its marks; a zero word tells nothing.
-func (p *Peers) Tell(_ context.Context, word frontier.Word) (answers []Status, all bool) {
+func (p *Peers) Tell(_ context.Context, ask Inquiry) (answers []Status, all bool) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for i := range p.seeds {
@@ -157,7 +177,7 @@
 		go func() {
 			defer wg.Done()
 			var s Status
-			if p.call(i, "/peer/status", word, &s, p.timeout) == nil {
+			if p.call(i, "/peer/status", ask, &s, p.timeout) == nil {
 				mu.Lock()
 				answers = append(answers, s)
 				mu.Unlock()
@@ -220,7 +240,7 @@
 // Handlers are what a controller answers its peers with.
 type Handlers struct {
 	Operate  func(Relay) Relayed // nil where operators are not served
-	Status   func(frontier.Word) Status
+	Status   func(Inquiry) Status
 	Progress func(id string) Progress
 	Relay    func(Relay) Relayed
 	Checkin  func(Checkin) Relayed
@@ -231,11 +251,11 @@
 func Mount(app *fiber.App, h Handlers) {
 	app.Post("/peer/status", func(c *fiber.Ctx) error {
 		// Versions without marks send a word that says nothing.
-		var word frontier.Word
-		if err := msgpack.Unmarshal(c.Body(), &word); err != nil {
+		var ask Inquiry
+		if err := msgpack.Unmarshal(c.Body(), &ask); err != nil {
 			return c.SendStatus(400)
 		}
-		return send(c, h.Status(word))
+		return send(c, h.Status(ask))
 	})
 	app.Post("/peer/progress", func(c *fiber.Ctx) error {
 		var a Ask
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,9 +7,11 @@
 	"net"
 	"os"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
+	"drumpick/internal/cancellation"
 	"drumpick/internal/config"
 	"drumpick/internal/frontier"
 
@@ -28,9 +30,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	told := cancellation.NewLog(time.Now().Add(-time.Minute))
 	app := fiber.New(fiber.Config{DisableStartupMessage: true})
 	Mount(app, Handlers{
-		Status:   func(frontier.Word) Status { return StatusOf("n-1", health{started: time.Now()}, time.Minute) },
+		Status: func(ask Inquiry) Status {
+			if ask.Term != 7 && ask.ToldMS != 0 {
+				t.Errorf("asked as %+v", ask)
+			}
+			return StatusOf("n-1", health{started: time.Now()}, told, ask)
+		},
 		Progress: func(id string) Progress { return Progress{Known: id == "j-1", Status: "running", Done: 2, Running: 3} },
 		Relay: func(r Relay) Relayed {
 			if r.ID == "j-503" {
@@ -53,9 +61,15 @@
 
 	p := NewPeers([]config.Seed{here}, 5*time.Second)
 	answers, all := p.Status(ctx)
-	if !all || len(answers) != 1 || answers[0].Node != "n-1" || answers[0].Answered || !answers[0].Failing || answers[0].QuietMS != 60000 {
+	if !all || len(answers) != 1 || answers[0].Node != "n-1" || answers[0].Answered || !answers[0].Failing || answers[0].QuietMS < 60000 || answers[0].Told != nil {
 		t.Errorf("status: %+v, all %v", answers, all)
 	}
+	// Asked for what it told, along with a leader's word, it lists it.
+	told.Add("j-7", time.Now())
+	answers, _ = p.Tell(ctx, Inquiry{Word: frontier.Word{Term: 7}, ToldMS: 45_000})
+	if w := answers[0].Told; w == nil || w.ReachMS != 45_000 || !slices.Equal(w.IDs, []string{"j-7"}) {
+		t.Errorf("told: %+v", w)
+	}
 	if pr, err := p.Progress("n-1", "j-1"); err != nil || !pr.Known || pr.Done != 2 || pr.Running != 3 {
 		t.Errorf("progress: %+v, %v", pr, err)
 	}
@@ -124,6 +138,15 @@
 	if err != nil || !old.Known || old.Status != "pending" || old.Done != 1 {
 		t.Errorf("read as %+v, %v", old, err)
 	}
+	// A version that knows of marks alone reads the word about them in an inquiry.
+	var word frontier.Word
+	ask := Inquiry{Word: frontier.Word{Term: 5, Seq: 2, Whole: true, Epoch: 9}, ToldMS: 1000}
+	if now, err = msgpack.Marshal(ask); err == nil {
+		err = msgpack.Unmarshal(now, &word)
+	}
+	if err != nil || word != ask.Word {
+		t.Errorf("an inquiry is read as %+v, %v", word, err)
+	}
 	// It knows no chains, and says so with a 400, which is no answer for the user.
 	for _, x := range []struct {
 		status int
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -53,6 +53,7 @@
 	bills     []Bill
 	starts    int
 	wasted    time.Duration // work that is to be done again
+	longest   time.Duration // a cancelled job's task was seen on its machine
 	broken    []string
 }
 
@@ -142,6 +143,13 @@
 	return append([]string(nil), w.broken...)
 }
 
+// Longest is for how long, at the most, a task of a cancelled job was seen on its machine.
+func (w *World) Longest() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.longest
+}
+
 // Wasted is the run time of tasks that has to be done again, so far.
 func (w *World) Wasted() time.Duration {
 	w.mu.Lock()
@@ -374,8 +382,14 @@
 		for _, s := range m.tasks {
 			id, _ := fleet.ParseTask(s.task)
 			at, ok := w.cancelled[id.Job]
-			if ok && s.status == "running" && !m.gone && time.Since(at) > w.Cancel && time.Since(m.lastSent) <= w.Lease {
+			// From when it has its image until it exits, also while it waits for its gang or saves.
+			if !ok || s.status == "ended" || s.status == "pulling" || m.gone || time.Since(m.lastSent) > w.Lease {
+				continue
+			}
+			if since := time.Since(at); since > w.Cancel {
 				w.breach("ran_cancelled: %s still on %s", s.task, m.Host)
+			} else {
+				w.longest = max(w.longest, since)
 			}
 		}
 	}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -93,7 +93,19 @@
 		for i := range c.nodes {
 			c.boot(i)
 		}
+		ended := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-time.After(w.Every / 4):
+					w.Sweep()
+				case <-ended:
+					return
+				}
+			}
+		}()
 		story(c)
+		close(ended)
 		w.Sweep()
 		for _, b := range w.Broken() {
 			t.Error("rule broken: " + b)
@@ -147,7 +159,7 @@
 	go func() {
 		defer close(n.gone)
 		n.ten.Run(ctx, func(ctx context.Context, term uint64) {
-			l := lead.New(&cfg, n.client, cloud, n.ten, peers, c.world, &n.heard, n.server.Quiet, term)
+			l := lead.New(&cfg, n.client, cloud, n.ten, peers, c.world, &n.heard, n.server.Told(), term)
 			c.mu.Lock()
 			n.leader = l
 			c.mu.Unlock()
@@ -261,10 +273,10 @@
 }
 
 func (f *friends) Status(ctx context.Context) ([]peer.Status, bool) {
-	return f.Tell(ctx, frontier.Word{})
+	return f.Tell(ctx, peer.Inquiry{})
 }
 
-func (f *friends) Tell(_ context.Context, word frontier.Word) ([]peer.Status, bool) {
+func (f *friends) Tell(_ context.Context, ask peer.Inquiry) ([]peer.Status, bool) {
 	time.Sleep(latency)
 	var out []peer.Status
 	for i := range f.c.nodes {
@@ -272,10 +284,12 @@
 		if i == f.me || n == nil || f.c.apart(f.me, i) {
 			continue
 		}
-		s := peer.StatusOf(n.name, n.client, n.server.Quiet())
-		if !f.c.plain[i] {
-			s = s.Witnessed(&n.heard, word, n.server.Renewed())
+		if f.c.plain[i] {
+			// It knows no more than to say how quiet it has been.
+			out = append(out, peer.StatusOf(n.name, n.client, n.server.Told(), peer.Inquiry{}))
+			continue
 		}
+		s := peer.StatusOf(n.name, n.client, n.server.Told(), ask).Witnessed(&n.heard, ask.Word, n.server.Renewed())
 		out = append(out, s)
 	}
 	return out, len(out) == len(f.c.nodes)-1
