A gang of which any result is known is done, whichever leader hears of it

Ruled out: starting the whole gang again (its results are kept, PROTOCOL: when one task is done, every task is).

Change: one result of a gang marks all, also one of an attempt that this leader never held and one read from the store.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -350,7 +350,9 @@
 	return ledger.ParseRanges(ranges, func(i int) {
 		if n := base + i; n < j.Tasks {
 			j.stored[n/64] |= 1 << (n % 64)
-			if !has(j.done, n) {
+			if j.Shape == ledger.ShapeGroup {
+				c.markDone(j, n) // and so its mates, which may not be stored
+			} else if !has(j.done, n) {
 				j.done[n/64] |= 1 << (n % 64)
 				j.nDone++
 			}
@@ -454,9 +456,20 @@
 	if n >= j.Tasks || has(j.done, n) || j.Shape == ledger.ShapeService {
 		return
 	}
-	j.done[n/64] |= 1 << (n % 64)
-	j.nDone++
-	j.dirty[c.part(n)] = true
+	first, last := n, n
+	if j.Shape == ledger.ShapeGroup {
+		// A gang completes together (PROTOCOL). Guards against one of which some results reached
+		// the last leader, or reach us from one machine and not from another that is gone: the
+		// rest would begin alone, wait for mates in vain, and the job would never be done.
+		first, last = 0, j.Tasks-1
+	}
+	for n := first; n <= last; n++ {
+		if !has(j.done, n) {
+			j.done[n/64] |= 1 << (n % 64)
+			j.nDone++
+			j.dirty[c.part(n)] = true
+		}
+	}
 }
 
 // pending counts tasks that are neither done nor held.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -191,13 +191,9 @@
 		clear(m.ErrorJobs)
 		m.Proven = true
 		c.markDone(j, a.Task.N)
-		if other := j.held[a.Task.N]; other != nil && other != a {
-			c.end(other) // its result is there already
-		}
-		if j.Shape == ledger.ShapeGroup && j.held[a.Task.N] == a {
-			// A gang completes together.
-			for n := range j.Tasks {
-				c.markDone(j, n)
+		for _, other := range j.held {
+			if other != a && (other.Task == a.Task || j.Shape == ledger.ShapeGroup && other.Try != a.Try) {
+				c.end(other) // its result is there already
 			}
 		}
 		for host := range j.errorHosts {
