A report from before its worker heard anything proves nothing of what was sent since

A machine that nobody has heard stands for sessions, starts anew and is in use from its first report on; then what it said before comes, with a higher session and without the run it has just been sent.

Change: a machine in use since its first report is asked where a report shows no trace of our term; a higher session is no proof then. Costs a call where the answer to a machine's first report is lost.

--- a/internal/fleet/older.go
+++ b/internal/fleet/older.go
@@ -46,6 +46,12 @@
 	return true
 }
 
+// early says whether a report is from before its worker heard anything of a machine that is in
+// use since its first report. Guards against one that stood unheard for sessions and started
+// anew: what it said before comes after what it says now, with a higher session, and lacks the
+// run that it has just been sent.
+func (m *Machine) early(r *Report, term uint64) bool { return m.Settled && r.Baton < term }
+
 // missing takes in that a body lacks an attempt that the machine should have, and says whether
 // it is gone.
 func (t *Table) missing(m *Machine, a *Attempt, r *Report, isReport bool, now time.Time) bool {
@@ -59,7 +65,7 @@
 		// a later report lacks it. An answer to /orders or /status may have been
 		// made before the response with the run came in.
 		return false
-	case !isReport, a.State == Sent && !m.unsure(t.Lease, now):
+	case !isReport, a.State == Sent && !m.unsure(t.Lease, now) && !m.early(r, t.Term):
 		return true
 	}
 	// No machine forgets a task that it had, but by starting anew; and a copy of a report
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -264,7 +264,7 @@
 	}
 	m.doubt.since = time.Time{}
 	m.hear(r, isReport, t.Term, now)
-	if m.Up && r.Stint > m.Stint && !(isReport && m.doubt.anew) {
+	if m.Up && r.Stint > m.Stint && !(isReport && (m.doubt.anew || m.early(r, t.Term))) {
 		// A new stint: the worker killed and forgot everything.
 		for _, a := range append([]*Attempt(nil), m.order...) {
 			if a.State != Planned {
