A campaign that is carried out late holds nobody up

Cause: the commit of a campaign and the end of its grant both without an answer; the key then stood for a term that nobody served until the grant ended, up to a grant's life without a leader. Found going through the commits for what a late one does.

Change: its owner drops a grant that is not that of a term it has served.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -40,6 +40,7 @@
 	until  time.Time
 	resign context.CancelFunc
 	barred time.Time // no campaign before this
+	held   uint64    // the grant of the last term of ours; its key ends by itself
 }
 
 // New returns a tenure for this process; start must differ for every start.
@@ -113,6 +114,15 @@
 			t.setLeader(l.Node)
 			if l.Start == t.start {
 				t.setLeader("") // resigned; it ends with its grant
+				t.mu.Lock()
+				held := t.held
+				t.mu.Unlock()
+				// Guards against a campaign without an answer that is carried out late: the
+				// key would stay with a term that nobody serves, for as long as its grant.
+				if row.Hold != held {
+					slog.Info("a campaign was carried out late: its grant is dropped", "term", row.Stamp)
+					t.store.Drop(ctx, row.Hold)
+				}
 			}
 			return 0, 0, sent, t.follow(ctx, row.Stamp)
 		}
@@ -173,7 +183,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.mu.Lock()
-	t.leader, t.term, t.until, t.resign = t.node, term, t.validUntil(sent), cancel
+	t.leader, t.term, t.until, t.resign, t.held = t.node, term, t.validUntil(sent), cancel, hold
 	t.mu.Unlock()
 	slog.Info("leading", "term", term)
 	done := make(chan struct{})
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -18,7 +18,7 @@
 // A story starts and kills processes of nodes ("start n-0 s1", "kill n-0"),
 // makes the state service fail ("outage on", "refuse n-0 on", "lose n-0 3": the
 // next commit is applied 3 s late, without an answer), lets time pass ("wait 5"),
-// makes a leader resign, or lets a leader of an old term write ("write TERM").
+// makes a leader resign, carries a campaign out late ("late n-0 s1"), or lets a leader of an old term write ("write TERM").
 // Grants live for 4 s.
 func TestTraces(t *testing.T) {
 	trace.Run(t, "*.trace", func(t *testing.T) func([]string) []string {
@@ -88,6 +88,17 @@
 		case "lose":
 			s, _ := strconv.Atoi(w[2])
 			nodes[w[1]].client.LoseAnswers(1, time.Duration(s)*time.Second)
+		case "late":
+			// A campaign that nobody waits for any more is carried out, on a grant of its own.
+			c := state.Client("late")
+			hold, err := c.Grant(context.Background(), 4*time.Second)
+			if err == nil {
+				_, err = c.Commit(context.Background(), []ledger.Cond{{Key: ledger.KeyLeader}},
+					[]ledger.Op{{Write: ledger.KeyLeader, Value: ledger.Leader{Node: w[1], Start: w[2]}, Hold: hold}})
+			}
+			if err != nil {
+				t.Error(err)
+			}
 		case "resign":
 			nodes[w[1]].ten.Resign()
 		case "wait":
