--- a/internal/lead/outage.go
+++ b/internal/lead/outage.go
@@ -109,7 +109,7 @@
 		_, until := l.tenure.Term()
 		word := l.loosen()
 		l.contactMu.Lock()
-		back := l.bound.Asks(asked, l.cfg.Timing().Peer)
+		back := l.bound.Asks(asked, l.set.Report) // answers may take a moment, and so may we
 		l.contactMu.Unlock()
 		answers, all := l.peers.Tell(ctx, peer.Inquiry{Word: word, ToldMS: back.Milliseconds()})
 		l.loosened(word, answers, all, asked)
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"drumpick/internal/config"
 	"drumpick/internal/ledger"
 )
 
@@ -183,11 +184,18 @@
 			playWith(t, func(c *cluster) {
 				c.world.Capacity = 8
 				c.world.GangWait, c.world.GangPeer = 30*time.Second, 5*time.Second
+				c.cfg.Facts.Teams = append(c.cfg.Facts.Teams, config.Team{Name: "limited", CPUsMax: 20})
+				if r.IntN(3) == 0 {
+					c.plain[r.IntN(3)] = true
+				}
 			}, func(c *cluster) {
 				c.world.RunFor = func(task string) time.Duration { return time.Duration(1+len(task)%3) * mixed(task) }
 				if r.IntN(2) == 0 {
 					c.echo = []time.Duration{time.Duration(1+r.IntN(30)) * time.Second}
 				}
+				if r.IntN(2) == 0 {
+					c.world.Held = heldBy(r.Uint64())
+				}
 				record(c)
 				sleep(2)
 				n := 0
@@ -199,6 +207,7 @@
 					sleep(float64(r.IntN(12)))
 				}
 				calm(c)
+				c.world.Held = nil
 				for i := range c.nodes {
 					c.node(i).client.LateWrites(nil)
 					c.node(i).client.Slow(0)
@@ -211,12 +220,12 @@
 						t.Errorf("withdraw %s, once more: %d", id, status)
 					}
 				}
+				if status := c.submit(0, ledger.Job{ID: "j-9999", Tasks: 4, EstimateS: 8}); status != 201 {
+					t.Errorf("a job after all troubles: %d", status)
+				}
 				sleep(600)
 				c.known()
 				c.noGhosts()
-				if len(c.world.accepted) == 0 {
-					t.Error("no job was accepted")
-				}
 			})
 		})
 	}
@@ -235,6 +244,18 @@
 		if len(c.asked) > 0 {
 			j.Prereqs = []string{c.asked[r.IntN(len(c.asked))]}
 		}
+	case 2:
+		zone := []string{"a", "b"}[r.IntN(2)]
+		switch r.IntN(4) {
+		case 0:
+			j.Team = "limited"
+		case 1:
+			j.OneZone, j.Tasks = true, min(j.Tasks, 6)
+		case 2:
+			j.Apart = true
+		case 3:
+			j.Zone = &zone
+		}
 	}
 	*n++ // whether it is accepted or its user gives up: no other job gets that id
 	for k := range 3 {
@@ -286,6 +307,24 @@
 	}
 }
 
+// heldBy holds direct commands and their answers up, some for seconds, so that the machine goes
+// on before they come; many are not.
+func heldBy(seed uint64) func() (command, answer time.Duration) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var mu sync.Mutex
+	span := func() time.Duration {
+		if r.IntN(3) > 0 {
+			return 0
+		}
+		return time.Duration(r.IntN(15_000)) * time.Millisecond
+	}
+	return func() (time.Duration, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		return span(), span()
+	}
+}
+
 // meeting brings troubles about that overlap.
 func meeting(c *cluster, r *rand.Rand) {
 	l := max(c.leading(), 0)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -37,6 +37,9 @@
 	Version                       string // of new machines' workers
 	// Fails says whether a task fails on a machine; nil: none does.
 	Fails func(m *Machine, task string) bool
+	// Held, where it is set, says by how much a direct command is held up on its way, and then
+	// its answer; nobody waits for either longer than a report interval.
+	Held func() (command, answer time.Duration)
 	// Open, where it is set, opens a machine's address when it is up; close ends it.
 	Open func(m *Machine) (addr string, close func(), err error)
 
@@ -328,5 +331,20 @@
 	if m == nil || closed {
 		return 0, nil, errors.New("no answer")
 	}
-	return m.Direct(d)
+	if w.Held == nil {
+		return m.Direct(d)
+	}
+	command, answer := w.Held()
+	if command >= w.Every {
+		time.AfterFunc(command, func() { _, _, _ = m.Direct(d) })
+		_ = link.Sleep(w.ctx, w.Every)
+		return 0, nil, errors.New("no answer in time")
+	}
+	_ = link.Sleep(w.ctx, command)
+	status, r, err := m.Direct(d)
+	_ = link.Sleep(w.ctx, min(answer, w.Every))
+	if answer >= w.Every {
+		return 0, nil, errors.New("no answer in time")
+	}
+	return status, r, err
 }
