--- a/internal/standin/gap_test.go
+++ b/internal/standin/gap_test.go
@@ -30,6 +30,29 @@
 	}
 }
 
+// dark has the store refuse the leader, another controller confirm cancellations, and then the
+// store down for all.
+func (g *gap) dark(after float64, ids ...string) {
+	g.refuse(g.leader, true)
+	g.cancel(g.other, ids...)
+	sleep(after)
+	g.c.state.Outage(true)
+}
+
+// goneIn wants the jobs' tasks gone so many seconds later, and lets the outage last.
+func (g *gap) goneIn(s float64, ids ...string) {
+	sleep(s)
+	g.gone(ids...)
+	sleep(40)
+}
+
+// apart cuts a controller off from the others, or no more.
+func (g *gap) apart(i int, on bool) {
+	g.c.mu.Lock()
+	g.c.alone[i] = on
+	g.c.mu.Unlock()
+}
+
 func (g *gap) refuse(i int, on bool) { g.c.state.Refuse(g.c.world.Nodes[i], on) }
 
 // kept wants no task lost by its lease so far; gone wants none of a job on any machine.
@@ -64,10 +87,7 @@
 		play  func(g *gap)
 	}{
 		"the refusal ends in the outage": {play: func(g *gap) {
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1", "j-2")
-			sleep(1)
-			g.c.state.Outage(true)
+			g.dark(1, "j-1", "j-2")
 			sleep(8)
 			g.gone("j-1", "j-2")
 			g.refuse(g.leader, false)
@@ -80,9 +100,7 @@
 			g.refuse(g.leader, false)
 			sleep(0.1)
 			g.c.state.Outage(true)
-			sleep(8)
-			g.gone("j-1")
-			sleep(40)
+			g.goneIn(8, "j-1")
 		}},
 		"the outage comes just before the grant ends": {play: func(g *gap) {
 			g.refuse(g.leader, true)
@@ -97,10 +115,7 @@
 			g.gone("j-1")
 		}},
 		"the refusal outlasts the outage": {play: func(g *gap) {
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1")
-			sleep(1)
-			g.c.state.Outage(true)
+			g.dark(1, "j-1")
 			sleep(40)
 			g.gone("j-1")
 			g.c.state.Outage(false)
@@ -108,10 +123,7 @@
 			g.refuse(g.leader, false)
 		}},
 		"the outage comes again as it ends": {play: func(g *gap) {
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1")
-			sleep(1)
-			g.c.state.Outage(true)
+			g.dark(1, "j-1")
 			sleep(20)
 			g.c.state.Outage(false)
 			sleep(0.2)
@@ -127,9 +139,7 @@
 			g.cancel(g.leader, "j-1") // which passes it on
 			sleep(1)
 			g.c.state.Outage(true)
-			sleep(8)
-			g.gone("j-1")
-			sleep(40)
+			g.goneIn(8, "j-1")
 		}},
 		"told by a poll, and stored by a controller that has ended": {cost: true, play: func(g *gap) {
 			g.refuse(g.leader, true)
@@ -142,18 +152,14 @@
 			sleep(40)
 		}},
 		"the controller that confirmed is back after 50 ms": {cost: true, play: func(g *gap) {
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1")
-			g.c.state.Outage(true)
+			g.dark(0, "j-1")
 			g.c.kill(g.other)
 			sleep(0.05)
 			g.c.boot(g.other)
 			sleep(50)
 		}},
 		"the controller that confirmed is back after 5 s": {cost: true, play: func(g *gap) {
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1")
-			g.c.state.Outage(true)
+			g.dark(0, "j-1")
 			sleep(0.5)
 			g.c.kill(g.other)
 			sleep(5)
@@ -161,9 +167,7 @@
 			sleep(50)
 		}},
 		"the leader is back at once": {cost: true, play: func(g *gap) {
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1")
-			g.c.state.Outage(true)
+			g.dark(0, "j-1")
 			sleep(1)
 			g.c.kill(g.leader)
 			sleep(0.05)
@@ -171,25 +175,16 @@
 			sleep(50)
 		}},
 		"the leader cannot reach one of the others": {cost: true, play: func(g *gap) {
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1")
-			g.c.state.Outage(true)
-			g.c.mu.Lock()
-			g.c.alone[g.other] = true
-			g.c.mu.Unlock()
+			g.dark(0, "j-1")
+			g.apart(g.other, true)
 			sleep(50)
-			g.c.mu.Lock()
-			g.c.alone[g.other] = false
-			g.c.mu.Unlock()
+			g.apart(g.other, false)
 		}},
 		"another controller is of an earlier version": {cost: true, play: func(g *gap) {
 			g.c.mu.Lock()
 			g.c.plain[g.other] = true
 			g.c.mu.Unlock()
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1")
-			sleep(1)
-			g.c.state.Outage(true)
+			g.dark(1, "j-1")
 			sleep(50)
 			g.c.mu.Lock()
 			g.c.plain[g.other] = false
@@ -208,17 +203,11 @@
 			}
 			g.cancel(g.other, "j-3", "j-4")
 			g.c.state.Outage(true)
-			sleep(8)
-			g.gone("j-3", "j-4")
-			sleep(40)
+			g.goneIn(8, "j-3", "j-4")
 		}},
 		"a service and a chain": {play: func(g *gap) {
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-5", "j-6")
-			g.c.state.Outage(true)
-			sleep(8)
-			g.gone("j-5", "j-6")
-			sleep(40)
+			g.dark(0, "j-5", "j-6")
+			g.goneIn(8, "j-5", "j-6")
 			g.c.state.Outage(false)
 			g.refuse(g.leader, false)
 			sleep(10)
@@ -233,19 +222,13 @@
 			g.c.submit(g.other, ledger.Job{ID: "j-9", Tasks: 20, EstimateS: 400})
 			g.cancel(g.other, "j-8", "j-9")
 			g.c.state.Outage(true)
-			sleep(8)
-			g.gone("j-8", "j-9")
-			sleep(40)
+			g.goneIn(8, "j-8", "j-9")
 		}},
 		"workers answer no commands": {play: func(g *gap) {
 			g.c.world.Close("a", true)
 			g.c.world.Close("b", true)
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1")
-			g.c.state.Outage(true)
-			sleep(8)
-			g.gone("j-1")
-			sleep(40)
+			g.dark(0, "j-1")
+			g.goneIn(8, "j-1")
 			g.c.world.Close("a", false)
 			g.c.world.Close("b", false)
 		}},
@@ -253,9 +236,7 @@
 			for _, m := range g.c.world.Machines() {
 				m.Deafen(true)
 			}
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1")
-			g.c.state.Outage(true)
+			g.dark(0, "j-1")
 			sleep(50)
 			for _, m := range g.c.world.Machines() {
 				m.Deafen(false)
@@ -266,19 +247,12 @@
 			sleep(1)
 			g.cancel(g.other, "j-1") // which passes it on
 			g.c.state.Outage(true)
-			sleep(8)
-			g.gone("j-1")
-			sleep(40)
+			g.goneIn(8, "j-1")
 			g.refuse(g.other, false)
 		}},
 		"two controllers": {nodes: 2, play: func(g *gap) {
-			g.refuse(g.leader, true)
-			g.cancel(g.other, "j-1")
-			sleep(1)
-			g.c.state.Outage(true)
-			sleep(8)
-			g.gone("j-1")
-			sleep(40)
+			g.dark(1, "j-1")
+			g.goneIn(8, "j-1")
 		}},
 		"seven controllers": {nodes: 7, play: func(g *gap) {
 			g.refuse(g.leader, true)
@@ -287,14 +261,10 @@
 			}
 			sleep(1)
 			g.c.state.Outage(true)
-			sleep(8)
-			g.gone("j-1", "j-2", "j-3")
-			sleep(40)
+			g.goneIn(8, "j-1", "j-2", "j-3")
 		}},
 		"the old leader is an island for workers, the new one confirms": {cost: true, play: func(g *gap) {
-			g.c.mu.Lock()
-			g.c.alone[g.leader] = true
-			g.c.mu.Unlock()
+			g.apart(g.leader, true)
 			g.refuse(g.leader, true)
 			sleep(7)
 			if now := g.c.node(g.other).ten.Leader(); now == g.c.world.Nodes[g.leader] {
@@ -303,9 +273,7 @@
 			g.cancel(g.other, "j-1")
 			g.c.state.Outage(true)
 			sleep(45)
-			g.c.mu.Lock()
-			g.c.alone[g.leader] = false
-			g.c.mu.Unlock()
+			g.apart(g.leader, false)
 		}},
 	}
 	for name, s := range stories {
