The stand-ins' new troubles are switched under their locks

Found by the race detector in a fresh clone: a story switched held commands, and what watches the store, beside the goroutines that read them. No assertion has changed.

--- a/internal/standin/late_test.go
+++ b/internal/standin/late_test.go
@@ -23,7 +23,9 @@
 
 func record(c *cluster) *recorder {
 	r := &recorder{c: c, marks: map[string]int{}, done: map[string]int{}, deleted: map[string]bool{}, failed: map[string]bool{}}
+	c.state.mu.Lock()
 	c.state.Keep = r.changed
+	c.state.mu.Unlock()
 	return r
 }
 
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -194,7 +194,7 @@
 					c.echo = []time.Duration{time.Duration(1+r.IntN(30)) * time.Second}
 				}
 				if r.IntN(2) == 0 {
-					c.world.Held = heldBy(r.Uint64())
+					c.world.Hold(heldBy(r.Uint64()))
 				}
 				record(c)
 				sleep(2)
@@ -207,7 +207,7 @@
 					sleep(float64(r.IntN(12)))
 				}
 				calm(c)
-				c.world.Held = nil
+				c.world.Hold(nil)
 				for i := range c.nodes {
 					c.node(i).client.LateWrites(nil)
 					c.node(i).client.Slow(0)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -37,9 +37,6 @@
 	Version                       string // of new machines' workers
 	// Fails says whether a task fails on a machine; nil: none does.
 	Fails func(m *Machine, task string) bool
-	// Held, where it is set, says by how much a direct command is held up on its way, and then
-	// its answer; nobody waits for either longer than a report interval.
-	Held func() (command, answer time.Duration)
 	// Open, where it is set, opens a machine's address when it is up; close ends it.
 	Open func(m *Machine) (addr string, close func(), err error)
 
@@ -61,6 +58,7 @@
 	bills     []Bill
 	starts    int
 	wasted    time.Duration // work that is to be done again
+	held      func() (command, answer time.Duration)
 	longest   time.Duration // a cancelled job's task was seen on its machine
 	broken    []string
 }
@@ -274,6 +272,14 @@
 	return true
 }
 
+// Hold says by how much each direct command is held up on its way, and then its answer; nobody
+// waits for either longer than a report interval. nil: none is.
+func (w *World) Hold(by func() (command, answer time.Duration)) {
+	w.mu.Lock()
+	w.held = by
+	w.mu.Unlock()
+}
+
 // Cut makes a zone's machines unreachable, or reachable again.
 func (w *World) Cut(zone string, on bool) {
 	w.mu.Lock()
@@ -324,6 +330,7 @@
 	w.mu.Lock()
 	m := w.machines[addr]
 	closed := m != nil && (w.closed[m.Zone] || m.deaf)
+	held := w.held
 	w.mu.Unlock()
 	if closed {
 		_ = link.Sleep(w.ctx, w.Every) // it hangs until the caller gives up
@@ -331,10 +338,10 @@
 	if m == nil || closed {
 		return 0, nil, errors.New("no answer")
 	}
-	if w.Held == nil {
+	if held == nil {
 		return m.Direct(d)
 	}
-	command, answer := w.Held()
+	command, answer := held()
 	if command >= w.Every {
 		time.AfterFunc(command, func() { _, _, _ = m.Direct(d) })
 		_ = link.Sleep(w.ctx, w.Every)
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -216,6 +216,13 @@
 	return c.deaf[i]
 }
 
+// old says whether a node is as earlier versions are.
+func (c *cluster) old(i int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plain[i]
+}
+
 // late is how much later a node gets to what others ask of it.
 func (c *cluster) late(i int) time.Duration {
 	c.mu.Lock()
@@ -286,7 +293,7 @@
 		if i == f.me || n == nil || f.c.apart(f.me, i) {
 			continue
 		}
-		if f.c.plain[i] {
+		if f.c.old(i) {
 			// It knows no more than to say how quiet it has been.
 			out = append(out, peer.StatusOf(n.name, n.client, n.server.Told(), peer.Inquiry{}))
 			continue
@@ -318,7 +325,7 @@
 func (f *friends) Checkins(node string, in peer.Bundle, _ time.Duration) (peer.Bundled, error) {
 	time.Sleep(latency)
 	for i := range f.c.nodes {
-		if n := f.c.node(i); n != nil && n.name == node && !f.c.plain[i] && !f.c.apart(f.me, i) {
+		if n := f.c.node(i); n != nil && n.name == node && !f.c.old(i) && !f.c.apart(f.me, i) {
 			time.Sleep(f.c.late(i))
 			return n.server.Bundled(in), nil
 		}
