What only a copy of a report has shown stays in doubt after a takeover

Cause: a machine that had started anew was first heard by a new leader through a copy of what it had said before. The copy's task was taken as held there; when the machine then showed the new term, the doubt about that task was cleared along with what it really had. As soon as the machine, asked, said that it had nothing, the task was started again, though the last leader had sent it to another machine which was not heard yet (ran_twice).

Ruled out: late transactions (the records were whole), marks (they covered the task).

Change: the doubt is cleared only about what the body that shows the term has itself.

--- a/internal/dispatch/marks.go
+++ b/internal/dispatch/marks.go
@@ -85,11 +85,13 @@
 }
 
 // seen clears the doubt about what a machine shows that obeys this term: what is there now
-// had not ended when the last leader stopped, so it was sent to no other.
+// had not ended when the last leader stopped, so it was sent to no other. Guards against what only
+// a copy of an earlier report has shown, and is still to be asked about: the machine may have
+// started anew since, and the task have been sent to another that is unheard of.
 func (c *Core) seen(m *fleet.Machine) {
 	for _, a := range m.Attempts() {
 		j := c.jobOf(a)
-		if j != nil && j.doubtful(a.Task.N) && a.Present() && j.held[a.Task.N] == a {
+		if j != nil && j.doubtful(a.Task.N) && a.Present() && m.Shows(a) && j.held[a.Task.N] == a {
 			j.doubt[a.Task.N/64] &^= 1 << (a.Task.N % 64)
 		}
 	}
--- a/internal/fleet/older.go
+++ b/internal/fleet/older.go
@@ -76,6 +76,10 @@
 	return false
 }
 
+// Shows says whether the last body that was taken in has an attempt; one that it lacks is kept as
+// long as that proves nothing.
+func (m *Machine) Shows(a *Attempt) bool { return a.body == m.body }
+
 // InDoubtFor is for how long a machine has been asked in vain what it has.
 func (m *Machine) InDoubtFor(now time.Time) time.Duration {
 	if m.doubt.open.IsZero() {
