--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -141,6 +141,17 @@
 			return fmt.Errorf("job %s was accepted and has no final answer", q.job)
 		}
 	}
+	return l.order()
+}
+
+// Order says which answers fit into no order, whether or not every job has ended; nil: all do.
+func (l *Log) Order() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.order()
+}
+
+func (l *Log) order() error {
 	for _, part := range model.Partition(l.ops) {
 		if !porcupine.CheckOperations(model, part) {
 			return fmt.Errorf("the answers about job %s fit into no order: %s", part[0].Input.(question).job, describe(part))
--- /dev/null
+++ b/internal/intake/order_test.go
@@ -0,0 +1,313 @@
+package intake_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"drumpick/internal/config"
+	"drumpick/internal/history"
+	"drumpick/internal/intake"
+	"drumpick/internal/ledger"
+	"drumpick/internal/link"
+	"drumpick/internal/peer"
+	"drumpick/internal/standin"
+
+	"pgregory.net/rapid"
+)
+
+// region is controllers of one deployment over one store, with users who ask at all of them.
+type region struct {
+	state *standin.State
+	nodes []*intake.Server
+	wild  *wild
+}
+
+// wild draws what goes wrong, and what is wrong on purpose.
+type wild struct {
+	mu      sync.Mutex
+	r       *rand.Rand
+	mistake string
+	leader  *core // the leader, at node 0
+}
+
+func (w *wild) n(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.r.IntN(n)
+}
+
+// pause is how long something takes: mostly little.
+func (w *wild) pause() time.Duration {
+	if w.n(8) == 0 {
+		return time.Duration(w.n(900)) * time.Millisecond
+	}
+	return time.Duration(w.n(30)) * time.Millisecond
+}
+
+// slow is a controller's way to the store, on which requests and answers take their time and
+// transactions' answers are lost, carried out at once or late.
+type slow struct {
+	*standin.Client
+	w   *wild
+	mu  sync.Mutex
+	old map[string]*ledger.Row // as first read, for a mistake
+}
+
+func (s *slow) Get(ctx context.Context, key string) (*ledger.Row, error) {
+	if err := link.Sleep(ctx, s.w.pause()); err != nil {
+		return nil, ledger.ErrNoAnswer
+	}
+	row, err := s.Client.Get(ctx, key)
+	if err == nil && s.w.mistake == "a read from memory" {
+		s.mu.Lock()
+		if was, ok := s.old[key]; ok {
+			row = was
+		}
+		s.old[key] = row
+		s.mu.Unlock()
+	}
+	if sleep := link.Sleep(ctx, s.w.pause()); sleep != nil {
+		return nil, ledger.ErrNoAnswer
+	}
+	return row, err
+}
+
+func (s *slow) List(ctx context.Context, prefix string, each func(ledger.Row) error) (uint64, error) {
+	var rows []ledger.Row
+	epoch, err := s.Client.List(ctx, prefix, func(r ledger.Row) error { rows = append(rows, r); return nil })
+	if link.Sleep(ctx, s.w.pause()) != nil {
+		return 0, ledger.ErrNoAnswer
+	}
+	for _, r := range rows {
+		if s.w.mistake == "a list with gaps" && s.w.n(3) == 0 {
+			continue
+		}
+		_ = each(r)
+	}
+	return epoch, err
+}
+
+func (s *slow) Commit(ctx context.Context, when []ledger.Cond, ops []ledger.Op) (uint64, error) {
+	if link.Sleep(ctx, s.w.pause()) != nil {
+		return 0, ledger.ErrNoAnswer
+	}
+	switch s.w.mistake {
+	case "a commit without conditions":
+		when = nil
+	case "a conflict taken for success":
+		epoch, err := s.Client.Commit(ctx, when, ops)
+		var conflict *ledger.ConflictError
+		if errors.As(err, &conflict) {
+			return conflict.Epoch, nil
+		}
+		return epoch, err
+	case "told before it is stored":
+		time.AfterFunc(400*time.Millisecond, func() { _, _ = s.Client.Commit(context.Background(), when, ops) })
+		return 1, nil
+	case "no answer taken for success":
+		if s.w.n(3) == 0 {
+			return 1, nil // it got lost on the way
+		}
+	}
+	late := time.Duration(-1)
+	switch s.w.n(6) {
+	case 0:
+		late = 0
+	case 1:
+		late = time.Duration(s.w.n(4000)) * time.Millisecond
+	}
+	if late >= 0 {
+		time.AfterFunc(late, func() { _, _ = s.Client.Commit(context.Background(), when, ops) })
+		return 0, ledger.ErrNoAnswer
+	}
+	return s.Client.Commit(ctx, when, ops)
+}
+
+// core is a leader that runs every job a while and stores that it is done.
+type core struct {
+	leading
+	mu   sync.Mutex
+	over map[string]bool
+}
+
+func (l *core) Cancel(_ context.Context, id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.over[id] = true
+	return true
+}
+
+// mates are a controller's peers.
+type mates struct {
+	alone
+	g  *region
+	me int
+}
+
+func (m mates) Relay(r peer.Relay, _ time.Duration) (peer.Relayed, bool) {
+	for i, n := range m.g.nodes {
+		if i != m.me {
+			time.Sleep(m.g.wild.pause() / 4)
+			if out := n.Relay(r); out.Final(r) {
+				return out, true
+			}
+		}
+	}
+	return peer.Relayed{}, false
+}
+
+func (m mates) Cancelled(_, id string) (bool, error) {
+	time.Sleep(m.g.wild.pause() / 4)
+	return m.g.wild.leader.Cancel(context.Background(), id), nil
+}
+
+func (m mates) Checkins(string, peer.Bundle, time.Duration) (peer.Bundled, error) {
+	return peer.Bundled{}, errors.New("no leader")
+}
+
+func open(seed uint64, mistake string) *region {
+	g := &region{state: standin.NewState(), wild: &wild{r: rand.New(rand.NewPCG(seed, 7)), mistake: mistake, leader: &core{over: map[string]bool{}}}}
+	for i, name := range []string{"n-0", "n-1", "n-2"} {
+		cfg := &config.Config{Node: name}
+		cfg.Options.GrantReports = 2
+		cfg.Facts.Workers.ReportS, cfg.Facts.Workers.CancelS = 2, 30
+		cfg.Facts.State.RPS, cfg.Facts.Nodes = 20, 3 // so few that polls share reads
+		cfg.Facts.Teams = []config.Team{{Name: "vision"}}
+		store := &slow{Client: g.state.Client(name), w: g.wild, old: map[string]*ledger.Row{}}
+		s := intake.New(cfg, store, mates{g: g, me: i}, func() string { return "n-0" }, func() intake.Local {
+			if i == 0 {
+				return g.wild.leader
+			}
+			return nil
+		})
+		s.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Zones: []string{"a"}}})
+		g.nodes = append(g.nodes, s)
+	}
+	return g
+}
+
+// finish stores that a job is done, as the leader does.
+func (g *region) finish(id string) {
+	c := g.state.Client("leader")
+	if row, err := c.Get(context.Background(), ledger.OpenKey(id)); err == nil && row != nil {
+		_, _ = c.Commit(context.Background(), []ledger.Cond{{Key: ledger.OpenKey(id), Stamp: row.Stamp}},
+			[]ledger.Op{{Delete: ledger.OpenKey(id)}, {Write: ledger.OverKey(id), Value: ledger.Over{Status: ledger.StatusDone, Tasks: 4}}})
+	}
+}
+
+// day has users submit, ask, repeat and cancel three jobs at all controllers at once, and says
+// what of their answers fits into no order.
+func (g *region) day(log *history.Log) error {
+	w := g.wild
+	ask := func(who int, kind, id string) string {
+		r := peer.Relay{Method: map[string]string{history.Submit: peer.Submit, history.Poll: peer.Poll, history.Cancel: peer.Withdraw}[kind], ID: id}
+		if kind == history.Submit {
+			r.Body = []byte(edit(job, `uid="`+id+`"`))
+		}
+		asked, n := time.Now(), g.nodes[w.n(3)]
+		out := n.Answer(r)
+		var s struct{ Status string }
+		_ = json.Unmarshal(out.Body, &s)
+		switch {
+		case out.Status == 404:
+			s.Status = history.NotFound
+		case out.Status >= 300:
+			s.Status = "" // it may yet be carried out
+		case kind == history.Submit && out.Status == 200 && s.Status == "":
+			s.Status = ledger.StatusPending
+		}
+		if s.Status != "" || kind != history.Poll {
+			log.Note(who, id, kind, s.Status, asked)
+		}
+		return s.Status
+	}
+	var wg sync.WaitGroup
+	for who := range 9 {
+		wg.Go(func() {
+			id := "j-" + string(rune('1'+who%3))
+			time.Sleep(time.Duration(w.n(40)) * time.Millisecond)
+			for range 5 {
+				switch w.n(5) {
+				case 0, 1:
+					ask(who, history.Submit, id)
+				case 2:
+					if who%3 == 1 {
+						ask(who, history.Cancel, id)
+					}
+				}
+				for range 2 {
+					ask(who, history.Poll, id)
+				}
+				time.Sleep(time.Duration(w.n(300)) * time.Millisecond)
+			}
+		})
+	}
+	wg.Go(func() {
+		time.Sleep(time.Duration(w.n(2500)) * time.Millisecond)
+		g.finish("j-1")
+	})
+	if g.wild.mistake == "an open answer from memory" || g.wild.mistake == "not known, from memory" {
+		// A controller that answers as it did the first time.
+		first := map[string]string{}
+		wg.Go(func() {
+			for k := range 40 {
+				id := "j-" + string(rune('1'+k%3))
+				asked := time.Now()
+				if first[id] == "" {
+					first[id] = ask(20, history.Poll, id)
+				} else if open := first[id] != history.NotFound; open == (g.wild.mistake == "an open answer from memory") {
+					log.Note(20, id, history.Poll, first[id], asked)
+				}
+				time.Sleep(150 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(10 * time.Second) // what is late is in by then
+	for _, id := range []string{"j-1", "j-2", "j-3"} {
+		g.finish(id)
+		for try := 0; try < 20 && ask(30, history.Poll, id) == ""; try++ {
+			time.Sleep(time.Second)
+		}
+	}
+	return log.Order()
+}
+
+// What users are told of a job, at whichever controller, in whatever order answers come, fits into
+// one order of what can have happened to it, with transactions that get no answer and are carried out
+// at once or late, reads that take long, and shared ones under crowds.
+func TestAnswersInOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		var err error
+		synctest.Test(t, func(*testing.T) { err = open(seed, "").day(history.New()) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// Each mistake made on purpose is found within a few days.
+func TestAnswersOutOfOrder(t *testing.T) {
+	for _, mistake := range []string{
+		"a read from memory", "a list with gaps", "a commit without conditions", "a conflict taken for success",
+		"told before it is stored", "no answer taken for success", "an open answer from memory", "not known, from memory",
+	} {
+		t.Run(mistake, func(t *testing.T) {
+			for seed := range uint64(60) {
+				var err error
+				synctest.Test(t, func(*testing.T) { err = open(seed, mistake).day(history.New()) })
+				if err != nil {
+					return
+				}
+			}
+			t.Error("not found in 60 days")
+		})
+	}
+}
