--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -385,12 +386,37 @@
 			}
 			later(2*time.Millisecond, func() { c.submit(i, j) })
 		}
+		if event == ledger.StatusDone && cancels {
+			later(time.Millisecond, func() { c.ask(from, peer.Withdraw, id) }) // it is done, and stays so
+		}
+		if event == "accepted" {
+			later(3*time.Millisecond, func() { c.odd(from, j) })
+		}
 		if event == "accepted" && cancels {
 			later(time.Millisecond, func() { c.withdraw(from, id) })
 		}
 	}
 }
 
+// odd sends submissions that lack a field, fit no machine or are of no team, each under an id that
+// nobody else uses.
+func (c *cluster) odd(i int, j ledger.Job) {
+	for k, change := range []func(m map[string]any){
+		func(m map[string]any) { delete(m, "vcpus") }, func(m map[string]any) { delete(m, "guess_s") }, func(m map[string]any) { m["shots"] = "2" },
+		func(m map[string]any) { m["vcpus"] = 99.0 }, func(m map[string]any) { m["owner"] = "nobody" }, func(m map[string]any) { m["rigs"] = []string{"none"} },
+	} {
+		var m map[string]any
+		raw, _ := json.Marshal(j)
+		_ = json.Unmarshal(raw, &m)
+		m["uid"] = fmt.Sprint(j.ID, "000", k)
+		change(m)
+		raw, _ = json.Marshal(m)
+		asked := time.Now()
+		status, _ := c.request(i, peer.Relay{Method: peer.Submit, Body: raw})
+		c.world.Submitted(m["uid"].(string), status, asked)
+	}
+}
+
 // keepCopies keeps copies of a third of the reports for the next leader.
 func (c *cluster) keepCopies(seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 4))
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -70,6 +70,9 @@
 		if status == 201 && known && asked.After(at) {
 			w.breach("went_back: %s was accepted, and a repeated submission of it is taken for a new job", id)
 		}
+		if j, ok := w.Jobs(id); !ok || !w.canRun(j) {
+			w.breach("odd: %s was accepted, and lacks a field or can never run", id)
+		}
 		w.accept(id)
 	case 400, 422:
 		if known && asked.After(at) {
@@ -78,6 +81,19 @@
 	}
 }
 
+// canRun says whether a machine type takes a job's tasks and its team's limit allows it.
+func (w *World) canRun(j ledger.Job) bool {
+	n := 1.0
+	if j.Shape != ledger.ShapeBatch {
+		n = float64(j.Tasks)
+	}
+	known := len(w.Teams) == 0 || slices.ContainsFunc(w.Teams, func(t config.Team) bool { return t.Name == j.Team })
+	return known && w.within(j.Team, n*j.CPUs, n*j.GPUs) && slices.ContainsFunc(w.Types, func(t ledger.MachineType) bool {
+		return (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) && (j.Zone == nil || len(t.Zones) == 0 || slices.Contains(t.Zones, *j.Zone)) &&
+			j.CPUs <= t.CPUs+1e-9 && j.GPUs <= t.GPUs+1e-9 && j.MemGB <= t.MemGB+1e-9
+	})
+}
+
 // accept notes that a user was told that there is such a job, with the world locked.
 func (w *World) accept(id string) {
 	if _, known := w.accepted[id]; !known {
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -23,6 +23,7 @@
 		{ID: "j-1", Tasks: 4, CPUs: 1}, {ID: "j-2", Tasks: 2, CPUs: 1, Zone: &zone}, {ID: "j-3", Tasks: 2, CPUs: 1, Types: []string{"other"}},
 		{ID: "j-4", Tasks: 2, CPUs: 1, OneZone: true}, {ID: "j-5", Tasks: 3, CPUs: 1, Apart: true}, {ID: "j-6", Tasks: 4, CPUs: 2, Team: "limited"},
 		{ID: "j-7", Tasks: 1, CPUs: 1, Prereqs: []string{"j-1"}}, {ID: "j-8", Tasks: 2, CPUs: 1},
+		{ID: "j-10", Tasks: 1, CPUs: 5, Team: "limited"},
 	} {
 		j.Shape, j.Spot = ledger.ShapeBatch, j.ID != "j-8"
 		jobs[j.ID] = j
@@ -90,6 +91,9 @@
 			later()
 			w.Submitted("j-1", 201, time.Now())
 		},
+		"odd: j-3":  func(w *World, _ func(string, string, uint64)) { w.Submitted("j-3", 201, time.Now()) },  // no such type
+		"odd: j-10": func(w *World, _ func(string, string, uint64)) { w.Submitted("j-10", 201, time.Now()) }, // over its team's limit
+		"odd: j-98": func(w *World, _ func(string, string, uint64)) { w.Submitted("j-98", 201, time.Now()) }, // it lacks a field
 		"started_cancelled": func(w *World, run func(string, string, uint64)) {
 			w.Cancelled("j-1")
 			later()
@@ -116,7 +120,7 @@
 				w.Every, w.Lease, w.Startup, w.Cancel = 2*time.Second, time.Hour, time.Second, 30*time.Second
 				w.Capacity, w.Nodes = 9, []string{"n-0"}
 				w.Types = []ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16}}
-				w.Teams = []config.Team{{Name: "limited", CPUsMax: 4}}
+				w.Teams = []config.Team{{Name: "limited", CPUsMax: 4}, {Name: ""}}
 				w.Jobs = func(id string) (ledger.Job, bool) { j, ok := jobs[id]; return j, ok }
 				w.RunFor = func(string) time.Duration { return time.Hour }
 				w.Report = func(int, *fleet.Report) (int, fleet.Response, string) { return 503, fleet.Response{}, "" }
