--- /dev/null
+++ b/internal/intake/confirm_test.go
@@ -0,0 +1,97 @@
+package intake_test
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"drumpick/internal/config"
+	"drumpick/internal/intake"
+	"drumpick/internal/ledger"
+	"drumpick/internal/peer"
+	"drumpick/internal/standin"
+
+	"github.com/gofiber/fiber/v2"
+)
+
+// asked answers for the leader: whether it has heard of a cancellation, or cannot be reached.
+type asked struct {
+	alone
+	heard bool
+	err   error
+	times int
+}
+
+func (a *asked) Cancelled(string, string) (bool, error) {
+	a.times++
+	return a.heard, a.err
+}
+
+// unknown is how a version answers that does not know the question.
+func unknown(t *testing.T) error {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	app := fiber.New(fiber.Config{DisableStartupMessage: true})
+	peer.Mount(app, peer.Handlers{})
+	go func() { _ = app.Listener(ln) }()
+	defer func() { _ = app.Shutdown() }()
+	_, err = peer.NewPeers([]config.Seed{{Node: "n-1", Addr: ln.Addr().String()}}, 5*time.Second).Cancelled("n-1", "j-1")
+	return err
+}
+
+// Nobody is told that a job is cancelled before the leader has heard it, by no way: the answer, a
+// poll or a repeat; but for as long as its grant may last at the most, and once told it stays told.
+func TestConfirmed(t *testing.T) {
+	old := unknown(t)
+	for name, x := range map[string]struct {
+		leader string
+		peers  asked
+		at     time.Duration // when it is confirmed
+		asks   int
+	}{
+		"the leader hears it":            {"n-1", asked{heard: true}, 0, 1},
+		"nobody leads":                   {"", asked{}, 0, 0},
+		"an earlier version leads":       {"n-1", asked{err: old}, 0, 1},
+		"the leader has given up":        {"n-1", asked{}, 5 * time.Second, 15},
+		"the leader is away":             {"n-1", asked{err: errors.New("no answer")}, 5 * time.Second, 15},
+		"this one is not the leader yet": {"n-0", asked{}, 5 * time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cfg := &config.Config{Node: "n-0"}
+				cfg.Options.GrantReports = 2
+				cfg.Facts.Workers.ReportS = 2 // a grant of 4 s
+				cfg.Facts.State.RPS = 100
+				cfg.Facts.Teams = []config.Team{{Name: "vision"}}
+				peers := x.peers
+				s := intake.New(cfg, standin.NewState().Client("n-0"), &peers, func() string { return x.leader }, func() intake.Local { return nil })
+				s.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Zones: []string{"a"}}})
+				ways := []peer.Relay{{Method: peer.Withdraw, ID: "j-1"}, {Method: peer.Poll, ID: "j-1"}, {Method: peer.Submit, Body: []byte(job)}}
+				if out := s.Answer(ways[2]); out.Status != 201 {
+					t.Fatalf("submission: %d", out.Status)
+				}
+				began := time.Now()
+				for time.Since(began) < 10*time.Second {
+					for _, r := range ways {
+						want := 200
+						if time.Since(began) < x.at-500*time.Millisecond {
+							want = 503
+						}
+						if out := s.Answer(r); out.Status != want {
+							t.Errorf("%s after %v: %d %s, want %d", r.Method, time.Since(began), out.Status, out.Body, want)
+						}
+					}
+					time.Sleep(time.Second - time.Since(began)%time.Second)
+				}
+				if peers.times != x.asks {
+					t.Error(fmt.Sprintf("the leader was asked %d times, want %d", peers.times, x.asks))
+				}
+			})
+		})
+	}
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -46,8 +46,17 @@
 			}
 			return Relayed{Status: 200, Body: append([]byte(r.Method+" "+r.ID+" "), r.Body...)}
 		},
-		Checkin: func(c Checkin) Relayed { return Relayed{Status: 200, Body: c.Body} },
+		Checkin:   func(c Checkin) Relayed { return Relayed{Status: 200, Body: c.Body} },
+		Cancelled: func(id string) bool { return id == "j-1" },
 	})
+	earlier := fiber.New(fiber.Config{DisableStartupMessage: true}) // a version that does not know that question
+	Mount(earlier, Handlers{})
+	back, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = earlier.Listener(back) }()
+	defer func() { _ = earlier.Shutdown() }()
 	go func() { _ = app.Listener(ln) }()
 	defer func() { _ = app.Shutdown() }()
 	away, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -86,6 +95,22 @@
 		t.Errorf("checkin: %+v, %v", out, err)
 	}
 
+	for id, want := range map[string]bool{"j-1": true, "j-2": false} {
+		if heard, err := p.Cancelled("n-1", id); err != nil || heard != want {
+			t.Errorf("cancelled %s: heard %v, %v", id, heard, err)
+		}
+	}
+	p = NewPeers([]config.Seed{{Node: "n-2", Addr: addr}, {Node: "n-3", Addr: back.Addr().String()}}, 5*time.Second)
+	if heard, err := p.Cancelled("n-2", "j-1"); heard || err == nil || Unknown(err) {
+		t.Errorf("cancelled, told to a peer that is away: %v, %v", heard, err)
+	}
+	if heard, err := p.Cancelled("n-3", "j-1"); heard || !Unknown(err) {
+		t.Errorf("cancelled, told to a version that does not know it: %v, %v", heard, err)
+	}
+	if _, err := p.Cancelled("n-9", "j-1"); err == nil || Unknown(err) {
+		t.Errorf("cancelled, told to a node that nobody knows: %v", err)
+	}
+
 	p = NewPeers([]config.Seed{here, {Node: "n-2", Addr: addr}}, 5*time.Second)
 	if answers, all := p.Status(ctx); all || len(answers) != 1 {
 		t.Errorf("one of two is away: %d answers, all %v", len(answers), all)
