--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -398,17 +398,15 @@
 	}
 }
 
-// LastSent is when a task of a job was last sent to a machine that has not shown it yet; zero:
-// none is on its way.
+// LastSent is when a task of a job, which may be over by now, was last sent to a machine that has
+// not shown it yet; zero: none is on its way.
 func (c *Core) LastSent(id string) time.Time {
 	var last time.Time
-	j := c.jobs[id]
-	if j == nil {
-		return last
-	}
-	for _, a := range j.held {
-		if a.State == fleet.Sent && a.Since.After(last) {
-			last = a.Since
+	for _, m := range c.fleet.Sorted() {
+		for _, a := range m.Attempts() {
+			if a.State == fleet.Sent && a.Task.Job == id && a.Since.After(last) {
+				last = a.Since
+			}
 		}
 	}
 	return last
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -200,6 +200,11 @@
 	case "over-without-time":
 		c.Over(rest[0], ledger.Over{Status: ledger.StatusDone}, uint64(s.num(a["stamp"], 20)))
 		return nil
+	case "on-its-way":
+		if at := c.LastSent(rest[0]); !at.IsZero() {
+			return []string{fmt.Sprintf("sent at %g and not shown yet", at.Sub(s.start).Seconds())}
+		}
+		return []string{"nothing on its way"}
 	case "gone":
 		c.CloseJob(rest[0])
 		return s.kicked()
