--- a/internal/intake/order_test.go
+++ b/internal/intake/order_test.go
@@ -93,6 +93,12 @@
 	return epoch, err
 }
 
+// late carries a transaction out a while later.
+func (s *slow) late(by time.Duration, when []ledger.Cond, ops []ledger.Op) {
+	time.Sleep(by)
+	_, _ = s.Client.Commit(context.Background(), when, ops)
+}
+
 func (s *slow) Commit(ctx context.Context, when []ledger.Cond, ops []ledger.Op) (uint64, error) {
 	if link.Sleep(ctx, s.w.pause()) != nil {
 		return 0, ledger.ErrNoAnswer
@@ -108,7 +114,7 @@
 		}
 		return epoch, err
 	case "told before it is stored":
-		time.AfterFunc(400*time.Millisecond, func() { _, _ = s.Client.Commit(context.Background(), when, ops) })
+		go s.late(400*time.Millisecond, when, ops)
 		return 1, nil
 	case "no answer taken for success":
 		if s.w.n(3) == 0 {
@@ -123,7 +129,7 @@
 		late = time.Duration(s.w.n(4000)) * time.Millisecond
 	}
 	if late >= 0 {
-		time.AfterFunc(late, func() { _, _ = s.Client.Commit(context.Background(), when, ops) })
+		go s.late(late, when, ops)
 		return 0, ledger.ErrNoAnswer
 	}
 	return s.Client.Commit(ctx, when, ops)
