The test of the idle check uses jobs that can run, and a limit that others have used up

Since odd jobs are named, its job of 3 CPUs in a team limited to 2 was: what it showed was not a team at its limit but a job that never fits. With the limit's condition taken out of the check the case fails.

--- a/internal/standin/idle_test.go
+++ b/internal/standin/idle_test.go
@@ -165,7 +165,7 @@
 		"a gang":                {job: ledger.Job{Shape: ledger.ShapeGroup, Tasks: 2, CPUs: 2, Spot: true}, want: 1},
 		"room for half a gang":  {job: ledger.Job{Shape: ledger.ShapeGroup, Tasks: 2, CPUs: 2, Spot: true}, busy: 2},
 		"no room":               {job: ledger.Job{Tasks: 2, CPUs: 2, Spot: true}, busy: 3},
-		"at its limit":          {job: ledger.Job{Team: "limited", Tasks: 2, CPUs: 3, Spot: true}},
+		"at its limit":          {job: ledger.Job{Team: "limited", Tasks: 2, CPUs: 2, Spot: true}, busy: 2},
 		"another zone":          {job: ledger.Job{Zone: &zone, Tasks: 2, CPUs: 2, Spot: true}},
 		"ordinary machines":     {job: ledger.Job{Tasks: 2, CPUs: 2}},
 		"waits for another":     {job: ledger.Job{Tasks: 2, CPUs: 2, Spot: true, Prereqs: []string{"j-0"}}},
@@ -178,10 +178,12 @@
 				w := NewWorld(ctx)
 				w.Every, w.Lease, w.Startup, w.Cancel, w.Capacity, w.Nodes = 2*time.Second, time.Hour, time.Second, time.Hour, 1, []string{"n-0"}
 				w.Types = []ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16}}
-				w.Teams = []config.Team{{Name: "limited", CPUsMax: 2}}
-				x.job.ID = "j-1"
+				w.Teams = []config.Team{{Name: "limited", CPUsMax: 3}, {Name: ""}}
+				if x.job.ID = "j-1"; x.job.Shape == "" {
+					x.job.Shape = ledger.ShapeBatch
+				}
 				w.Jobs = func(id string) (ledger.Job, bool) {
-					return map[string]ledger.Job{"j-0": {ID: "j-0", Tasks: 1, CPUs: x.busy, Spot: true}, "j-1": x.job}[id], true
+					return map[string]ledger.Job{"j-0": {ID: "j-0", Team: "limited", Tasks: 1, CPUs: x.busy, Spot: true}, "j-1": x.job}[id], true
 				}
 				w.RunFor = func(string) time.Duration { return time.Hour }
 				w.Report = func(int, *fleet.Report) (int, fleet.Response, string) { return 503, fleet.Response{}, "" }
