--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -8,6 +8,7 @@
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
 	"drumpick/internal/packing"
+	"drumpick/internal/usage"
 )
 
 // claim is room on a machine that is one job's own: somebody was stopped there for its
@@ -38,7 +39,7 @@
 // keepPlace makes the place that a task of a broken gang leaves the gang's own: it has
 // to begin anew, and what else went there would be stopped a moment later.
 func (c *Core) keepPlace(j *Job, a *fleet.Attempt) {
-	if j.gangBroken && a.Machine.Bin.Open() && a.State != fleet.Planned {
+	if j.gangBroken && a.Machine.Bin.Open() && a.State() != fleet.Planned {
 		c.own(j, a.Machine, c.now)
 	}
 }
@@ -76,7 +77,7 @@
 
 // useClaims starts tasks of a job that need not start together in room of its own, as
 // far as it is free.
-func (c *Core) useClaims(j *Job, used map[string]packing.Vec, zones map[string]int, now time.Time) {
+func (c *Core) useClaims(j *Job, used map[string]usage.Amount, zones map[string]int, now time.Time) {
 	limited := c.limited(j.Team)
 	for i := 0; i < len(j.claims); {
 		t, m := j.peek(), j.claims[i].m
@@ -100,7 +101,7 @@
 		c.plant(j, t, c.newTry(), m, it, now)
 		j.take(t)
 		if limited {
-			used[j.Team] = used[j.Team].Add(j.req)
+			used[j.Team] = used[j.Team].Add(j.quota())
 		}
 	}
 }
@@ -133,7 +134,7 @@
 	}
 	wants, coming := j.pending(), j.gangBroken
 	for _, a := range j.held {
-		if a.Stop {
+		if a.Stopping() {
 			wants++ // it moves
 			coming = true
 		}
@@ -157,7 +158,7 @@
 }
 
 // leaves says whether an attempt is being stopped, and its room on its way.
-func leaves(a *fleet.Attempt) bool { return a.Stop && a.Present() && a.Item != nil }
+func leaves(a *fleet.Attempt) bool { return a.Stopping() && a.Present() && a.Item != nil }
 
 // coming is the room that a machine has or will have, once what is being stopped there
 // is gone, beyond what is anybody's own.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -19,6 +19,7 @@
 	"drumpick/internal/means"
 	"drumpick/internal/packing"
 	"drumpick/internal/served"
+	"drumpick/internal/usage"
 	"drumpick/internal/zones"
 )
 
@@ -204,6 +205,7 @@
 	opened  time.Time                 // when it was last looked at which machines take tasks
 	now     time.Time                 // of the placing or round under way
 	fleet   *fleet.Table
+	usage   *usage.Account // of what the attempts in fleet take, by team
 	settled bool
 	began   time.Time
 
@@ -238,12 +240,15 @@
 
 // NewCore starts a term with nothing known.
 func NewCore(set Settings, term uint64, now time.Time) *Core {
-	return &Core{
+	c := &Core{
 		set: set, term: term, jobs: map[string]*Job{}, chain: chain.New(), alike: map[likeness]int{}, types: map[string]ledger.MachineType{},
 		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{}, marks: newMarks(),
 		means: means.New(set.Report, set.Report/TickShare), cuts: zones.New(set.Lease),
 		scarce: guarantee.NewScarce(), served: served.New(), toldServed: now, rent: newRentState(), spaces: map[string]*packing.Space{},
+		usage: usage.NewAccount(),
 	}
+	c.fleet.OnChange = c.charge
+	return c
 }
 
 // SetTypes takes in the machine types that the cloud offers.
@@ -287,7 +292,7 @@
 			// Guards against moves that throw a fetch away to begin another: what was
 			// only planned moves freely, what is on a machine to where its image is.
 			a, ok := it.Owner.(*fleet.Attempt)
-			if !ok || a.State == fleet.Planned {
+			if !ok || a.State() == fleet.Planned {
 				return true
 			}
 			// Guards against two machines that empty into each other.
@@ -336,6 +341,9 @@
 	c.link(j)
 	c.suspect(j)
 	c.foresee(j)
+	for _, a := range c.fleet.OfJob(rec.ID) {
+		c.charge(a) // until now its owner was not known
+	}
 	return j
 }
 
@@ -385,15 +393,8 @@
 	delete(c.jobs, id)
 	c.closed = append(c.closed, id)
 	c.resort, c.dirty = true, true
-	var all []*fleet.Attempt
-	for _, m := range c.fleet.Sorted() {
-		for _, a := range m.Attempts() {
-			if a.Task.Job == id {
-				all = append(all, a)
-			}
-		}
-	}
-	for _, a := range all {
+	for _, a := range c.fleet.OfJob(id) {
+		c.charge(a)
 		c.end(a)
 	}
 }
@@ -402,11 +403,9 @@
 // not shown it yet; zero: none is on its way.
 func (c *Core) LastSent(id string) time.Time {
 	var last time.Time
-	for _, m := range c.fleet.Sorted() {
-		for _, a := range m.Attempts() {
-			if a.State == fleet.Sent && a.Task.Job == id && a.Since.After(last) {
-				last = a.Since
-			}
+	for _, a := range c.fleet.OfJob(id) {
+		if a.State() == fleet.Sent && a.Since.After(last) {
+			last = a.Since
 		}
 	}
 	return last
@@ -414,7 +413,7 @@
 
 // end withdraws an attempt whose job is over.
 func (c *Core) end(a *fleet.Attempt) {
-	switch a.State {
+	switch a.State() {
 	case fleet.Planned:
 		a.Machine.Forget(a)
 	case fleet.Ended:
@@ -427,13 +426,9 @@
 // stop marks an attempt to be killed, and why: the first reason stays. The kill is repeated
 // until its exit shows.
 func (c *Core) stop(a *fleet.Attempt, why string, grace float64, now time.Time) {
-	if a.Stop && grace >= a.Grace {
+	if !a.RequestStop(why, grace, now) {
 		return
 	}
-	if !a.Stop {
-		a.StopAt, a.Why = now, why
-	}
-	a.Stop, a.Grace = true, grace
 	c.kick[a.Machine.Host] = true
 }
 
@@ -455,7 +450,7 @@
 		return "", 0, 0, false
 	}
 	for _, a := range j.held {
-		if a.State == fleet.Running || a.State == fleet.Flushing {
+		if a.State() == fleet.Running || a.State() == fleet.Flushing {
 			running++
 		}
 	}
--- a/internal/dispatch/drainplan.go
+++ b/internal/dispatch/drainplan.go
@@ -138,7 +138,7 @@
 		mp := drain.MachinePlan{Machine: m.Host, Zone: m.Zone}
 		for _, a := range m.Attempts() {
 			j := c.jobOf(a)
-			if j == nil || a.State == fleet.Ended || a.State == fleet.Planned || spec.Kind == drain.Cordon {
+			if j == nil || a.State() == fleet.Ended || a.State() == fleet.Planned || spec.Kind == drain.Cordon {
 				continue
 			}
 			t := c.task(j, a, now)
--- a/internal/dispatch/drains.go
+++ b/internal/dispatch/drains.go
@@ -243,7 +243,7 @@
 			x.Fresh = now.Sub(m.VersionSince)
 		}
 		for _, a := range m.Attempts() {
-			if j := c.jobOf(a); j != nil && a.State != fleet.Ended {
+			if j := c.jobOf(a); j != nil && a.State() != fleet.Ended {
 				x.Cost += time.Duration(c.remaining(j, a, now) * float64(time.Second))
 			}
 		}
@@ -274,15 +274,15 @@
 	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 	_, ran := a.Took(now)
 	t := drain.Task{
-		Running: a.State == fleet.Running, Waiting: a.State == fleet.Waiting || a.State == fleet.Pulling && j.Shape == ledger.ShapeGroup,
-		Stopping: a.Stop, Group: j.Shape == ledger.ShapeGroup, Service: j.Shape == ledger.ShapeService,
+		Running: a.State() == fleet.Running, Waiting: a.State() == fleet.Waiting || a.State() == fleet.Pulling && j.Shape == ledger.ShapeGroup,
+		Stopping: a.Stopping(), Group: j.Shape == ledger.ShapeGroup, Service: j.Shape == ledger.ShapeService,
 		Urgent: j.terms.Rank <= prioRank[ledger.PrioUrgent], Remaining: seconds(c.remaining(j, a, now)),
 		Ran: ran, Saves: j.CheckpointS > 0, Save: seconds(j.SaveS), Restart: c.set.Report + c.fetch(j),
 	}
 	if t.Service {
 		t.Remaining = 0
 		for _, o := range j.held {
-			if o != a && o.State == fleet.Running && !o.Stop && o.Machine.Cordon == nil {
+			if o != a && o.State() == fleet.Running && !o.Stopping() && o.Machine.Cordon == nil {
 				t.Others++
 			}
 		}
@@ -315,7 +315,7 @@
 	}
 	for _, a := range slices.Clone(m.Attempts()) {
 		j := c.jobOf(a)
-		if j == nil || a.Stop || a.State == fleet.Ended || a.State == fleet.Planned || a.State == fleet.Sent || a.Stray {
+		if j == nil || a.Stopping() || a.State() == fleet.Ended || a.State() == fleet.Planned || a.State() == fleet.Sent || a.Stray {
 			continue // on its way out, or not known well enough yet
 		}
 		if j.Shape == ledger.ShapeGroup {
@@ -371,7 +371,7 @@
 	staying := map[string]int{}
 	for _, a := range j.held {
 		switch {
-		case a.Stop:
+		case a.Stopping():
 			return
 		case c.empties(a.Machine):
 			leaving = append(leaving, a)
@@ -385,7 +385,7 @@
 	slices.SortFunc(leaving, func(a, b *fleet.Attempt) int { return cmp.Compare(a.Task.N, b.Task.N) })
 	t := c.task(j, leaving[0], now)
 	for _, a := range j.held {
-		t.Waiting = t.Waiting || a.State != fleet.Running
+		t.Waiting = t.Waiting || a.State() != fleet.Running
 		_, ran := a.Took(now)
 		t.Ran = max(t.Ran, ran)
 	}
@@ -419,13 +419,13 @@
 // drained counts what became of a task on a machine that was being emptied.
 func drained(a *fleet.Attempt, now time.Time) {
 	d, ok := a.Machine.Cordon.(*drainWork)
-	if !ok || d.spec.Kind == drain.Cordon || a.State == fleet.Sent {
+	if !ok || d.spec.Kind == drain.Cordon || a.State() == fleet.Sent {
 		return
 	}
 	_, ran := a.Took(now)
 	seen := &d.state.Seen
 	switch {
-	case a.State != fleet.Ended:
+	case a.State() != fleet.Ended:
 		seen.Vanished++
 		if !isService(a) {
 			seen.LostS += ran.Seconds()
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"drumpick/internal/fleet"
@@ -55,7 +56,7 @@
 	}
 	for _, a := range out.New {
 		c.adopt(m, a)
-		if a.State == fleet.Ended {
+		if a.State() == fleet.Ended {
 			c.ended(a, now)
 		}
 	}
@@ -109,7 +110,7 @@
 		// be completed any more; one that still waits can, with its own attempt.
 		if j.Shape == ledger.ShapeGroup && j.gangTry != 0 && len(j.held) < j.Tasks {
 			for _, a := range j.held {
-				if a.State == fleet.Running || a.State == fleet.Flushing {
+				if a.State() == fleet.Running || a.State() == fleet.Flushing {
 					c.breakGang(j, now)
 					break
 				}
@@ -123,7 +124,7 @@
 	j := c.jobs[a.Task.Job]
 	a.Stray = true
 	if j == nil || a.Task.N >= j.Tasks {
-		if a.State == fleet.Ended {
+		if a.State() == fleet.Ended {
 			a.Reap = true
 		} else {
 			// Its size is unknown: hold the whole machine until it is gone.
@@ -132,7 +133,7 @@
 		}
 		return
 	}
-	if a.State == fleet.Ended {
+	if a.State() == fleet.Ended {
 		return
 	}
 	if a.Item == nil {
@@ -161,8 +162,8 @@
 	j := c.jobs[a.Task.Job]
 	lostTotal.Inc()
 	drained(a, now)
-	slog.Debug("attempt gone", "task", a.Task.String(), "machine", a.Machine.Host, "state", a.State.String(), "fate", c.inVain(a), "term", c.term)
-	if j != nil && j.Shape == ledger.ShapeGroup && j.held[a.Task.N] == a && a.State != fleet.Sent {
+	slog.Debug("attempt gone", "task", a.Task.String(), "machine", a.Machine.Host, "state", a.State().String(), "fate", c.inVain(a), "term", c.term)
+	if j != nil && j.Shape == ledger.ShapeGroup && j.held[a.Task.N] == a && a.State() != fleet.Sent {
 		defer func() { c.breakGang(j, now); c.keepPlace(j, a) }()
 	}
 	c.release(a)
@@ -247,7 +248,7 @@
 	j.errorHosts[m.Host] = true
 	fine := j.nDone > 0
 	for _, a := range j.held {
-		if a.Machine != m && a.State == fleet.Running && now.Sub(a.RunSince) > 2*c.set.Report {
+		if a.Machine != m && a.State() == fleet.Running && now.Sub(a.RunSince) > 2*c.set.Report {
 			fine = true
 		}
 	}
@@ -293,8 +294,8 @@
 
 // unplan takes back what was meant for a machine and not yet sent.
 func (c *Core) unplan(m *fleet.Machine) {
-	for _, a := range append([]*fleet.Attempt(nil), m.Attempts()...) {
-		if a.State == fleet.Planned {
+	for _, a := range slices.Clone(m.Attempts()) {
+		if a.State() == fleet.Planned {
 			m.Forget(a)
 			c.release(a)
 		}
@@ -308,7 +309,7 @@
 	m.Draining = true
 	for _, a := range m.Attempts() {
 		j := c.jobs[a.Task.Job]
-		if j == nil || a.Stop || a.State != fleet.Running && a.State != fleet.Waiting {
+		if j == nil || a.Stopping() || a.State() != fleet.Running && a.State() != fleet.Waiting {
 			continue
 		}
 		left := m.Notice.Sub(now).Seconds()
@@ -349,7 +350,7 @@
 	}
 	j.gangBroken = len(j.held) > 0
 	for _, a := range j.held {
-		if a.State == fleet.Planned {
+		if a.State() == fleet.Planned {
 			defer func() { a.Machine.Forget(a); c.release(a) }()
 			continue
 		}
--- a/internal/dispatch/fates.go
+++ b/internal/dispatch/fates.go
@@ -23,13 +23,13 @@
 // silent for its lease, "unsent" a run that never arrived, "lost" all else.
 func fate(a *fleet.Attempt) string {
 	switch {
-	case a.Stop && a.Why != "":
+	case a.Stopping() && a.Why != "":
 		return a.Why
-	case a.State == fleet.Ended:
+	case a.State() == fleet.Ended:
 		return causeLabel(a.Cause)
 	case a.Machine.Lost && !a.Machine.Dead:
 		return "lease"
-	case a.State == fleet.Sent:
+	case a.State() == fleet.Sent:
 		return "unsent"
 	}
 	return "lost"
@@ -40,7 +40,7 @@
 // starts of a class before it was counted.
 func (c *Core) inVain(a *fleet.Attempt) string {
 	f := fate(a)
-	if a.State != fleet.Planned && a.Why != whyOver {
+	if a.State() != fleet.Planned && a.Why != whyOver {
 		metrics.GetOrCreateCounter(`drumpick_starts_in_vain_total{fate="` + f + `"}`).Inc()
 	}
 	return f
--- a/internal/dispatch/marks.go
+++ b/internal/dispatch/marks.go
@@ -151,7 +151,7 @@
 // LacksMark says whether anything planned for a machine waits for its mark.
 func (c *Core) LacksMark(m *fleet.Machine) bool {
 	for _, a := range m.Attempts() {
-		if a.State == fleet.Planned && !c.covered(a) {
+		if a.State() == fleet.Planned && !c.covered(a) {
 			return true
 		}
 	}
--- a/internal/dispatch/owed.go
+++ b/internal/dispatch/owed.go
@@ -6,7 +6,7 @@
 	"drumpick/internal/fleet"
 	"drumpick/internal/guarantee"
 	"drumpick/internal/ledger"
-	"drumpick/internal/packing"
+	"drumpick/internal/usage"
 )
 
 // guarantees marks the jobs that fit, together with their team's earlier unfinished ones,
@@ -35,7 +35,7 @@
 
 // lacked notes that a job of a team with a guarantee found no room, and may use ordinary
 // machines alone. What its team's limit holds back lacks none.
-func (c *Core) lacked(j *Job, used packing.Vec, now time.Time) {
+func (c *Core) lacked(j *Job, used usage.Amount, now time.Time) {
 	if !c.set.Guarantees || j.Spot || !guarantee.Any(c.set.Teams[j.Team]) || c.limited(j.Team) && !c.withinLimit(j, used) {
 		return
 	}
@@ -60,7 +60,7 @@
 	}
 	n := 0
 	for _, a := range j.held {
-		if m := a.Machine; !m.Spot && a.State != fleet.Ended && c.scarceLately(m.Type, now) {
+		if m := a.Machine; !m.Spot && a.State() != fleet.Ended && c.scarceLately(m.Type, now) {
 			n++
 		}
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -9,14 +9,9 @@
 	"drumpick/internal/ledger"
 	"drumpick/internal/means"
 	"drumpick/internal/packing"
+	"drumpick/internal/usage"
 )
 
-// limited says whether a team has a limit.
-func (c *Core) limited(team string) bool {
-	t := c.set.Teams[team]
-	return t.CPUsMax > 0 || t.GPUsMax > 0
-}
-
 // startable says whether tasks of the job may be started at all now. After a
 // takeover, until every machine that may hold tasks has been heard, only tasks may start
 // that can be on none of those still unheard of, and none of a job that needs the whole
@@ -32,32 +27,6 @@
 	return (j.doubt == nil || j.Shape != ledger.ShapeGroup) && !c.limited(j.Team) && !j.OneZone && !j.Apart
 }
 
-// usage is what a team's tasks take. With planned, also what is meant to start.
-func (c *Core) usage(team string, planned bool) packing.Vec {
-	var sum packing.Vec
-	for _, m := range c.fleet.Sorted() {
-		for _, a := range m.Attempts() {
-			if a.Present() || planned && a.State == fleet.Planned {
-				if j := c.jobOf(a); j != nil {
-					if j.Team == team {
-						sum = sum.Add(j.req)
-					}
-				} else {
-					// Whose it is, is unknown: it counts for everyone.
-					sum = sum.Add(a.Item.Req)
-				}
-			}
-		}
-	}
-	return sum
-}
-
-func (c *Core) withinLimit(j *Job, used packing.Vec) bool {
-	t := c.set.Teams[j.Team]
-	sum := used.Add(j.req)
-	return (t.CPUsMax == 0 || sum.CPU <= t.CPUsMax+1e-9) && (t.GPUsMax == 0 || sum.GPU <= t.GPUsMax+1e-9)
-}
-
 // open says whether a machine may be given new tasks.
 func (c *Core) open(m *fleet.Machine, now time.Time) bool {
 	return m.Up && m.Settled && inService(m) && m.Notice.IsZero() &&
@@ -88,7 +57,7 @@
 func (c *Core) zones(j *Job, planned bool) map[string]int {
 	n := map[string]int{}
 	for _, a := range j.held {
-		if a.Present() || planned && a.State == fleet.Planned {
+		if a.Present() || planned && a.State() == fleet.Planned {
 			n[a.Machine.Zone]++
 		}
 	}
@@ -98,11 +67,9 @@
 		}
 	}
 	if len(j.strays) > 0 {
-		for _, m := range c.fleet.Machines {
-			for _, a := range m.Attempts() {
-				if a.Stray && a.Task.Job == j.ID && a.Present() {
-					n[m.Zone]++
-				}
+		for _, a := range c.fleet.OfJob(j.ID) {
+			if a.Stray && a.Present() {
+				n[a.Machine.Zone]++
 			}
 		}
 	}
@@ -132,7 +99,7 @@
 	hopeless := func(j *Job, alike int) bool {
 		return alike > 0 && failed[alike] != nil && !before(j, failed[alike])
 	}
-	used := map[string]packing.Vec{}
+	used := map[string]usage.Amount{}
 	c.queue(now)
 	c.keeper = c.lastKeeper()
 	c.reviewClaims(now)
@@ -147,7 +114,7 @@
 		}
 		limited := c.limited(j.Team)
 		if _, ok := used[j.Team]; limited && !ok {
-			used[j.Team] = c.usage(j.Team, true)
+			used[j.Team] = c.usage.Committed(j.Team)
 		}
 		var ok bool
 		if j.Shape == ledger.ShapeGroup {
@@ -171,7 +138,7 @@
 
 // placeTasks places as many tasks of a job as possible, only on machines with a
 // mark unless it is "". It returns false when some had no room.
-func (c *Core) placeTasks(j *Job, only string, used map[string]packing.Vec, zones map[string]int, now time.Time) bool {
+func (c *Core) placeTasks(j *Job, only string, used map[string]usage.Amount, zones map[string]int, now time.Time) bool {
 	limited := c.limited(j.Team)
 	for {
 		t := j.peek()
@@ -188,7 +155,7 @@
 		c.carryOut(moves, now)
 		j.take(t)
 		if limited {
-			used[j.Team] = used[j.Team].Add(j.req)
+			used[j.Team] = used[j.Team].Add(j.quota())
 		}
 		if zones != nil {
 			zones[m.Zone]++
@@ -215,7 +182,7 @@
 
 // placeGang places a whole gang or nothing of it. Tasks that replace members
 // which never arrived take the gang's attempt number.
-func (c *Core) placeGang(j *Job, used map[string]packing.Vec, now time.Time) bool {
+func (c *Core) placeGang(j *Job, used map[string]usage.Amount, now time.Time) bool {
 	if j.gangTry == 0 && len(j.held)+len(j.strays) > 0 {
 		return false
 	}
@@ -253,7 +220,7 @@
 			moves = append(moves, asked...)
 			j.take(t)
 			placed = append(placed, j.held[t])
-			sum = sum.Add(j.req)
+			sum = sum.Add(j.quota())
 			zn[m.Zone]++
 		}
 		if ok {
@@ -344,7 +311,7 @@
 	}
 	keep := c.unsent[:0]
 	for _, a := range c.unsent {
-		if a.State != fleet.Planned || a.Item == nil {
+		if a.State() != fleet.Planned || a.Item == nil {
 			continue // sent, or given up
 		}
 		j := c.jobOf(a)
@@ -387,13 +354,13 @@
 // tasks started under a round ago, each once. Gangs never move, and replicas move only
 // in rounds, one at a time.
 func (c *Core) movable(j *Job, a *fleet.Attempt, now time.Time) bool {
-	if j == nil || a.Stop || a.Stray || j.Shape != ledger.ShapeBatch {
+	if j == nil || a.Stopping() || a.Stray || j.Shape != ledger.ShapeBatch {
 		return false
 	}
-	if _, before := j.moved[a.Task.N]; before && a.State != fleet.Planned {
+	if _, before := j.moved[a.Task.N]; before && a.State() != fleet.Planned {
 		return false
 	}
-	return a.State == fleet.Planned || a.Present() && a.State != fleet.Sent && now.Sub(a.Since) < c.set.Round
+	return a.State() == fleet.Planned || a.Present() && a.State() != fleet.Sent && now.Sub(a.Since) < c.set.Round
 }
 
 // putBack undoes what listed moves did to the bins, which keep what is really there.
@@ -416,10 +383,10 @@
 		for _, it := range mv.Items {
 			from := mv.From.Owner.(*fleet.Machine)
 			a, ok := it.Owner.(*fleet.Attempt)
-			if !ok || a.Stop {
+			if !ok || a.Stopping() {
 				continue
 			}
-			if a.State == fleet.Planned {
+			if a.State() == fleet.Planned {
 				from.Forget(a)
 				c.release(a)
 				continue
@@ -443,7 +410,7 @@
 // at what is on machines, runs in flight included, not at what was planned.
 func (c *Core) mayRun(a *fleet.Attempt, now time.Time) bool {
 	j, m := c.jobOf(a), a.Machine
-	if j == nil || a.State != fleet.Planned || !c.startable(j, now) || !c.open(m, now) || !m.Recorded {
+	if j == nil || a.State() != fleet.Planned || !c.startable(j, now) || !c.open(m, now) || !m.Recorded {
 		return false
 	}
 	n := a.Task.N
@@ -456,7 +423,7 @@
 	if (j.OneZone || j.Apart) && !j.zoneOK(m.Zone, c.zones(j, false)) {
 		return false
 	}
-	if c.limited(j.Team) && !c.withinLimit(j, c.usage(j.Team, false)) {
+	if c.limited(j.Team) && !c.withinLimit(j, c.usage.InUse(j.Team)) {
 		return false
 	}
 	var sum packing.Vec
@@ -483,7 +450,7 @@
 // command is not.
 func (c *Core) Respond(m *fleet.Machine, canRun bool, now time.Time) fleet.Response {
 	for _, a := range m.Attempts() {
-		if a.State == fleet.Ended && a.Cause == fleet.CauseDone && !a.Reap {
+		if a.State() == fleet.Ended && a.Cause == fleet.CauseDone && !a.Reap {
 			j := c.jobOf(a)
 			// A result may be forgotten only once the store has it.
 			a.Reap = j == nil || has(j.stored, a.Task.N)
@@ -494,8 +461,8 @@
 	if !canRun {
 		return resp
 	}
-	for _, a := range append([]*fleet.Attempt(nil), m.Attempts()...) {
-		if a.State != fleet.Planned {
+	for _, a := range slices.Clone(m.Attempts()) {
+		if a.State() != fleet.Planned {
 			continue
 		}
 		if j := c.jobOf(a); j != nil && c.putOff(j) {
@@ -509,7 +476,7 @@
 			c.release(a)
 			continue
 		}
-		a.State, a.SentTick, a.Since = fleet.Sent, m.Tick, now
+		a.Send(now)
 		j := c.jobs[a.Task.Job]
 		runsTotal.Inc()
 		startSeconds.Update(now.Sub(j.base).Seconds())
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -9,6 +9,7 @@
 	"drumpick/internal/fleet"
 	"drumpick/internal/ledger"
 	"drumpick/internal/packing"
+	"drumpick/internal/usage"
 )
 
 // vacancy is a machine as a job that looks for room sees it: what it would have left
@@ -42,8 +43,8 @@
 type search struct {
 	c        *Core
 	now      time.Time
-	excess   map[string]packing.Vec // what teams run beyond their guarantees
-	versions map[*fleet.Machine]int // how often a machine was changed by this look
+	excess   map[string]usage.Amount // what teams run beyond their guarantees
+	versions map[*fleet.Machine]int  // how often a machine was changed by this look
 	seen     map[likes][]*vacancy
 }
 
@@ -71,10 +72,10 @@
 	if len(claimants) == 0 {
 		return
 	}
-	s := &search{c: c, now: now, excess: map[string]packing.Vec{}, versions: map[*fleet.Machine]int{}, seen: map[likes][]*vacancy{}}
+	s := &search{c: c, now: now, excess: map[string]usage.Amount{}, versions: map[*fleet.Machine]int{}, seen: map[likes][]*vacancy{}}
 	if owing {
 		for name, t := range c.set.Teams {
-			s.excess[name] = c.staying(name).Sub(packing.Vec{CPU: t.CPUs, GPU: t.GPUs})
+			s.excess[name] = c.usage.Staying(name).Sub(usage.Amount{CPUs: t.CPUs, GPUs: t.GPUs})
 		}
 	}
 	ending := c.freed.lately(now, c.set.Report)
@@ -96,22 +97,6 @@
 	}
 }
 
-// staying is what a team's tasks take that are not being stopped.
-func (c *Core) staying(team string) packing.Vec {
-	var sum packing.Vec
-	for _, m := range c.fleet.Sorted() {
-		for _, a := range m.Attempts() {
-			if !a.Present() || a.Stop {
-				continue
-			}
-			if j := c.jobOf(a); j != nil && j.Team == team {
-				sum = sum.Add(j.req)
-			}
-		}
-	}
-	return sum
-}
-
 // tasks makes room for up to n tasks of a job that need not start together.
 func (s *search) tasks(j *Job, n int) {
 	k := likes{alike: j.alike, rank: j.terms.Rank, guaranteed: j.holds}
@@ -169,7 +154,7 @@
 
 // gather chooses places for up to n tasks where least work is lost, and says how many
 // it did not find.
-func (s *search) gather(j *Job, n int, list []*vacancy, zones map[string]int, excess map[string]packing.Vec) ([]taken, int) {
+func (s *search) gather(j *Job, n int, list []*vacancy, zones map[string]int, excess map[string]usage.Amount) ([]taken, int) {
 	var chosen []taken
 	for n > 0 {
 		var best *vacancy
@@ -193,7 +178,7 @@
 		for _, a := range best.next {
 			best.free = best.free.Add(a.Item.Req)
 			aj := s.c.jobOf(a)
-			excess[aj.Team] = excess[aj.Team].Sub(aj.req)
+			excess[aj.Team] = excess[aj.Team].Sub(aj.quota())
 		}
 		best.chosen = append(best.chosen, best.next...)
 		for n > 0 && best.free.Fits(j.req) && (zones == nil || j.zoneOK(best.m.Zone, zones)) {
@@ -211,7 +196,7 @@
 }
 
 // carryOut stops whom it takes and makes the room the job's own.
-func (s *search) carryOut(j *Job, chosen []taken, excess map[string]packing.Vec) {
+func (s *search) carryOut(j *Job, chosen []taken, excess map[string]usage.Amount) {
 	for _, x := range chosen {
 		for _, a := range x.stop {
 			why, save, aj := whyGuarantee, 0.0, s.c.jobOf(a)
@@ -239,7 +224,7 @@
 
 // weigh finds what must be stopped on a machine to make room for one more task of a
 // job with the least loss of work. Nobody is stopped twice for the same job.
-func (s *search) weigh(j *Job, v *vacancy, excess map[string]packing.Vec) {
+func (s *search) weigh(j *Job, v *vacancy, excess map[string]usage.Amount) {
 	v.next, v.loss, v.ok = nil, 0, true
 	free, over := v.free, excess
 	for !free.Fits(j.req) {
@@ -261,7 +246,7 @@
 			over = maps.Clone(excess)
 		}
 		bj := s.c.jobOf(best)
-		over[bj.Team] = over[bj.Team].Sub(bj.req)
+		over[bj.Team] = over[bj.Team].Sub(bj.quota())
 		v.next = append(v.next, best)
 		free = free.Add(best.Item.Req)
 		v.loss += least
@@ -270,8 +255,8 @@
 
 // stoppable says whether an attempt may be stopped for the sake of a job: it has lower
 // priority, or its team runs more than it is guaranteed and the job's is owed that.
-func (s *search) stoppable(j *Job, a *fleet.Attempt, excess map[string]packing.Vec) bool {
-	if a.Stop || !a.Present() || a.State == fleet.Sent || a.Item == nil {
+func (s *search) stoppable(j *Job, a *fleet.Attempt, excess map[string]usage.Amount) bool {
+	if a.Stopping() || !a.Present() || a.State() == fleet.Sent || a.Item == nil {
 		return false
 	}
 	aj := s.c.jobOf(a)
@@ -282,7 +267,7 @@
 		return false
 	}
 	over := excess[aj.Team]
-	return aj.terms.Rank > j.terms.Rank || j.holds && aj.Team != j.Team && (over.CPU > 1e-9 || over.GPU > 1e-9)
+	return aj.terms.Rank > j.terms.Rank || j.holds && aj.Team != j.Team && (over.CPUs > quotaSlack || over.GPUs > quotaSlack)
 }
 
 // loss is the machine time that stopping an attempt throws away, as a share of
--- /dev/null
+++ b/internal/dispatch/quota.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"drumpick/internal/fleet"
+	"drumpick/internal/usage"
+)
+
+// quotaSlack forgives the rounding of decimal amounts where a quota is compared.
+const quotaSlack = 1e-9
+
+// quota is what one task of the job counts for.
+func (j *Job) quota() usage.Amount { return usage.Amount{CPUs: j.req.CPU, GPUs: j.req.GPU} }
+
+// charge brings the account up to date with an attempt. The fleet's table calls it for every
+// change of the attempt; a change of its job (it comes, or is over) is the other reason.
+func (c *Core) charge(a *fleet.Attempt) {
+	next := c.chargeOf(a)
+	c.usage.Replace(a.Charge, next)
+	a.Charge = next
+}
+
+// chargeOf is what an attempt counts for: all that may be on a machine, and apart from that
+// what is planned. Where its job is over or not known it counts for every team, as what it
+// takes until it is proven gone.
+func (c *Core) chargeOf(a *fleet.Attempt) usage.Charge {
+	var charge usage.Charge
+	switch {
+	case !a.Listed() || a.State() == fleet.Ended:
+		return charge
+	case a.State() == fleet.Planned:
+		charge.Phase = usage.Planned
+	case a.Stopping():
+		charge.Phase = usage.Stopping
+	default:
+		charge.Phase = usage.Present
+	}
+	if j := c.jobOf(a); j != nil {
+		charge.Team, charge.Size = j.Team, j.quota()
+		return charge
+	}
+	charge.Shared = true
+	if a.Item != nil {
+		charge.Size = usage.Amount{CPUs: a.Item.Req.CPU, GPUs: a.Item.Req.GPU}
+	}
+	return charge
+}
+
+// limited says whether a team has a limit.
+func (c *Core) limited(team string) bool {
+	t := c.set.Teams[team]
+	return t.CPUsMax > 0 || t.GPUsMax > 0
+}
+
+// withinLimit says whether one more task of the job is within its team's limit, beside what is
+// used.
+func (c *Core) withinLimit(j *Job, used usage.Amount) bool {
+	t := c.set.Teams[j.Team]
+	sum := used.Add(j.quota())
+	return (t.CPUsMax == 0 || sum.CPUs <= t.CPUsMax+quotaSlack) && (t.GPUsMax == 0 || sum.GPUs <= t.GPUsMax+quotaSlack)
+}
+
+// wanted is how many of a job's tasks wait and are within its team's limit.
+func (c *Core) wanted(j *Job) int {
+	n := j.pending() + j.leaving
+	if !c.limited(j.Team) {
+		return n
+	}
+	t, used := c.set.Teams[j.Team], c.usage.Committed(j.Team)
+	if t.CPUsMax > 0 && j.CPUs > 0 {
+		n = min(n, int((t.CPUsMax-used.CPUs)/j.CPUs+quotaSlack))
+	}
+	if t.GPUsMax > 0 && j.GPUs > 0 {
+		n = min(n, int((t.GPUsMax-used.GPUs)/j.GPUs+quotaSlack))
+	}
+	return n
+}
--- /dev/null
+++ b/internal/dispatch/quota_test.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"drumpick/internal/config"
+	"drumpick/internal/drain"
+	"drumpick/internal/fleet"
+	"drumpick/internal/ledger"
+	"drumpick/internal/rental"
+	"drumpick/internal/usage"
+
+	"pgregory.net/rapid"
+)
+
+// scanUsage is the oracle of the account: a look at every attempt on every machine.
+func scanUsage(c *Core, team string) (inUse, committed, staying usage.Amount) {
+	for _, m := range c.fleet.Sorted() {
+		for _, a := range m.Attempts() {
+			if a.State() == fleet.Ended {
+				continue
+			}
+			size, shared, mine := usage.Amount{}, true, false
+			if j := c.jobOf(a); j != nil {
+				size, shared, mine = usage.Amount{CPUs: j.CPUs, GPUs: j.GPUs}, false, j.Team == team
+			} else if a.Item != nil {
+				size = usage.Amount{CPUs: a.Item.Req.CPU, GPUs: a.Item.Req.GPU}
+			}
+			if !shared && !mine {
+				continue
+			}
+			committed = committed.Add(size)
+			if a.Present() {
+				inUse = inUse.Add(size)
+				if mine && !a.Stopping() {
+					staying = staying.Add(size)
+				}
+			}
+		}
+	}
+	return inUse, committed, staying
+}
+
+// checkUsage compares the account with the scan, for every team.
+func checkUsage(t *rapid.T, c *Core, after string) {
+	same := func(a, b usage.Amount) bool {
+		return math.Abs(a.CPUs-b.CPUs) < quotaSlack && math.Abs(a.GPUs-b.GPUs) < quotaSlack
+	}
+	for team := range c.set.Teams {
+		inUse, committed, staying := scanUsage(c, team)
+		if got := c.usage.InUse(team); !same(got, inUse) {
+			t.Fatalf("after %s: %s uses %+v by the account, %+v by the scan", after, team, got, inUse)
+		}
+		if got := c.usage.Committed(team); !same(got, committed) {
+			t.Fatalf("after %s: %s has committed %+v by the account, %+v by the scan", after, team, got, committed)
+		}
+		if got := c.usage.Staying(team); !same(got, staying) {
+			t.Fatalf("after %s: of %s stays %+v by the account, %+v by the scan", after, team, got, staying)
+		}
+	}
+}
+
+// usageStory plays random events to a core, with workers that obey it.
+type usageStory struct {
+	*yard
+	t      *rapid.T
+	teams  []config.Team
+	old    []fleet.Report // reports that came, of which copies may come again
+	came   []ledger.Job
+	drains int
+}
+
+func newUsageStory(t *rapid.T) *usageStory {
+	var teams []config.Team
+	for i := range 4 {
+		teams = append(teams, config.Team{Name: fmt.Sprint("team-", i), CPUs: float64(i), CPUsMax: float64(4 * (i % 3)), GPUsMax: float64(i % 2)})
+	}
+	options := config.DefaultOptions()
+	options.Guarantees = true
+	return &usageStory{yard: newYard(t, options, teams, 3), t: t, teams: teams}
+}
+
+func (s *usageStory) pickHost() *yardHost { return rapid.SampledFrom(s.hosts).Draw(s.t, "machine") }
+
+func (s *usageStory) submit() {
+	j := ledger.Job{
+		ID: fmt.Sprint("j-", len(s.came)), Team: rapid.SampledFrom(s.teams).Draw(s.t, "team").Name, Image: "img", MemGB: 1,
+		Shape:    rapid.SampledFrom([]string{ledger.ShapeBatch, ledger.ShapeBatch, ledger.ShapeGroup, ledger.ShapeService}).Draw(s.t, "shape"),
+		Priority: rapid.SampledFrom([]string{ledger.PrioCritical, ledger.PrioUrgent, ledger.PrioNormal, ledger.PrioLow}).Draw(s.t, "priority"),
+		CPUs:     rapid.SampledFrom([]float64{0.1, 0.3, 1, 2, 4}).Draw(s.t, "cpus"), Tasks: rapid.IntRange(1, 6).Draw(s.t, "tasks"), EstimateS: 20, AcceptedMS: s.now.UnixMilli(),
+	}
+	if rapid.Bool().Draw(s.t, "saves") {
+		j.CheckpointS, j.SaveS = 5, 2
+	}
+	s.came = append(s.came, j)
+	s.jobs[j.ID], s.runs[j.ID] = j, 15*time.Second
+	s.c.AddJob(j, 10, s.now, s.now)
+}
+
+// report has a machine report what it holds, and obey the answer unless that is lost.
+func (s *usageStory) report() {
+	h := s.pickHost()
+	s.advance(h)
+	h.report.Tick++
+	h.report.Tasks = nil
+	for _, shot := range h.shots {
+		h.report.Tasks = append(h.report.Tasks, shot.TaskReport)
+	}
+	r := h.report
+	r.Tasks = append([]fleet.TaskReport(nil), r.Tasks...)
+	s.old = append(s.old, r)
+	m, stale := s.c.Body(&r, rapid.IntRange(0, 5).Draw(s.t, "answer to a command") > 0, s.now)
+	if stale || m == nil {
+		return
+	}
+	m.Recorded = true
+	s.c.Choose(m, s.now)
+	resp := s.c.Respond(m, true, s.now)
+	if rapid.IntRange(0, 4).Draw(s.t, "lost answer") > 0 {
+		s.c.Answered(m, "", s.now)
+		h.report.Baton = s.c.term
+		s.obey(h, resp.Orders)
+	}
+}
+
+// stranger has a machine hold what this term did not start: of a job that is known or not, or
+// a task that its job does not have.
+func (s *usageStory) stranger() {
+	id := fleet.TaskID{Job: fmt.Sprint("j-", rapid.IntRange(0, 12).Draw(s.t, "job")), N: rapid.IntRange(0, 8).Draw(s.t, "task")}
+	h := s.pickHost()
+	h.shots = append(h.shots, &yardShot{
+		TaskReport: fleet.TaskReport{Shot: id.String(), Try: 3<<24 + uint64(rapid.IntRange(1, 9).Draw(s.t, "attempt")), Status: "running"},
+		job:        id.Job, ends: s.now.Add(20 * time.Second),
+	})
+}
+
+// takeover begins the next term with what the store has.
+func (s *usageStory) takeover() {
+	before := s.c
+	s.c = NewCore(before.set, before.term+1, s.now)
+	s.c.SetTypes([]ledger.MachineType{before.types["c4"]})
+	for _, m := range before.fleet.Sorted() {
+		if m.Recorded {
+			s.c.LoadHost(m.Host, ledger.Host{Addr: m.Addr, Type: m.Type, Zone: m.Zone}, s.now)
+		}
+	}
+	for _, j := range s.came {
+		if before.jobs[j.ID] != nil {
+			s.c.AddJob(j, 10, s.now, s.now)
+		}
+	}
+}
+
+func (s *usageStory) anyJob() string {
+	for _, j := range s.came {
+		if s.c.jobs[j.ID] != nil && rapid.Bool().Draw(s.t, "this job") {
+			return j.ID
+		}
+	}
+	return ""
+}
+
+// event plays one random event and returns its name.
+func (s *usageStory) event() string {
+	s.now = s.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(s.t, "ms")) * time.Millisecond)
+	name := rapid.SampledFrom([]string{
+		"report", "report", "report", "report", "report", "submission", "submission", "tick", "tick", "late copy", "stranger", "session",
+		"cancellation", "end", "long silence", "return", "failure", "takeover", "lapse", "drain", "settle", "faulty",
+	}).Draw(s.t, "event")
+	switch name {
+	case "report":
+		s.report()
+	case "submission":
+		s.submit()
+	case "tick":
+		s.c.Tick(s.now, true)
+	case "late copy":
+		if len(s.old) > 0 {
+			r := rapid.SampledFrom(s.old).Draw(s.t, "copy")
+			s.c.Body(&r, true, s.now)
+		}
+	case "stranger":
+		s.stranger()
+	case "session":
+		h := s.pickHost()
+		h.report.Stint, h.shots = h.report.Stint+1, nil
+	case "cancellation":
+		if id := s.anyJob(); id != "" {
+			s.c.Over(id, ledger.Over{Status: ledger.StatusCancelled}, 20)
+		}
+	case "end":
+		if id := s.anyJob(); id != "" {
+			s.c.CloseJob(id)
+		}
+	case "long silence":
+		s.now = s.now.Add(14 * time.Second)
+		s.c.Tick(s.now, true)
+	case "return":
+		s.c.Returned([]string{s.pickHost().report.Host}, s.now)
+	case "failure":
+		h := s.pickHost().report
+		s.c.Listed([]rental.Listed{{Host: h.Host, Addr: h.Addr, Type: "c4", Zone: h.Zone, Status: "failed"}}, s.now, s.now)
+	case "takeover":
+		if rapid.IntRange(0, 3).Draw(s.t, "yes") == 0 {
+			s.takeover()
+		}
+	case "lapse":
+		s.c.Lapse(s.now)
+	case "drain":
+		s.drains++
+		s.c.SetDrain(drain.Spec{ID: fmt.Sprint("d-", s.drains), Kind: drain.Empty, Machines: []string{s.pickHost().report.Host}, BeganMS: s.now.UnixMilli()}, nil, 0)
+	case "settle":
+		s.c.CheckSettled(s.now)
+	case "faulty":
+		if m := s.c.fleet.Machines[s.pickHost().report.Host]; m != nil {
+			s.c.condemn(m)
+		}
+	}
+	return name
+}
+
+// The account of what teams use equals a scan of all attempts after every event: reports, late
+// ones and copies, lapses, cancellations, takeovers, machines gone and back, gangs, services,
+// unknown jobs, drains, preemption. Once all machines are gone nothing is left in it.
+func TestAccountEqualsScan(t *testing.T) {
+	sameCases(t)
+	rapid.Check(t, func(t *rapid.T) {
+		s := newUsageStory(t)
+		for range rapid.IntRange(20, 200).Draw(t, "events") {
+			checkUsage(t, s.c, s.event())
+		}
+		for _, m := range s.c.fleet.Sorted() {
+			s.c.DropMachine(m.Host, s.now)
+		}
+		checkUsage(t, s.c, "the loss of all machines")
+		if !s.c.usage.Empty() {
+			t.Fatal("charges are left though no attempt is")
+		}
+	})
+}
--- a/internal/dispatch/rentplan.go
+++ b/internal/dispatch/rentplan.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -143,23 +144,6 @@
 	return reqs
 }
 
-// wanted is how many of a job's tasks wait and are within its team's limit.
-func (c *Core) wanted(j *Job) int {
-	n := j.pending()
-	n += j.leaving
-	if c.limited(j.Team) {
-		used := c.usage(j.Team, true)
-		t := c.set.Teams[j.Team]
-		if t.CPUsMax > 0 && j.CPUs > 0 {
-			n = min(n, int((t.CPUsMax-used.CPU)/j.CPUs+1e-9))
-		}
-		if t.GPUsMax > 0 && j.GPUs > 0 {
-			n = min(n, int((t.GPUsMax-used.GPU)/j.GPUs+1e-9))
-		}
-	}
-	return n
-}
-
 // anyPermits says whether a machine at hand, or about to be rented, may take the
 // job's tasks at all.
 func (c *Core) anyPermits(j *Job, counts map[offer]int) bool {
@@ -515,9 +499,9 @@
 			// It stopped on its own, and all on it with it.
 			if m != nil && !m.Lost {
 				slog.Info("machine failed", "machine", l.Host, "term", c.term)
-				for _, a := range append([]*fleet.Attempt(nil), m.Attempts()...) {
+				for _, a := range slices.Clone(m.Attempts()) {
 					m.Forget(a)
-					if a.State != fleet.Ended {
+					if a.State() != fleet.Ended {
 						c.gone(a, now)
 					}
 				}
--- a/internal/dispatch/rounds.go
+++ b/internal/dispatch/rounds.go
@@ -115,7 +115,7 @@
 func (c *Core) Observe(m *fleet.Machine) {
 	var sum packing.Vec
 	for _, a := range m.Attempts() {
-		if a.Item != nil && (a.State == fleet.Running || a.State == fleet.Flushing || a.State == fleet.Waiting) {
+		if a.Item != nil && (a.State() == fleet.Running || a.State() == fleet.Flushing || a.State() == fleet.Waiting) {
 			sum = sum.Add(a.Item.Req)
 		}
 	}
@@ -133,12 +133,12 @@
 		running := 0
 		var leave *fleet.Attempt
 		for _, a := range j.held {
-			if a.Stop {
+			if a.Stopping() {
 				leave = nil
 				running = 0
 				break
 			}
-			if a.State == fleet.Running {
+			if a.State() == fleet.Running {
 				running++
 				if (a.Machine.Draining || c.empties(a.Machine)) && (leave == nil || a.Task.N < leave.Task.N) {
 					leave = a
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -78,7 +78,7 @@
 		v.AgeS = now.Sub(m.Rented).Seconds()
 	}
 	for _, a := range m.Attempts() {
-		if a.State != fleet.Ended {
+		if a.State() != fleet.Ended {
 			v.Count++
 		}
 	}
@@ -108,8 +108,8 @@
 	}
 	v := c.view(m, now)
 	for _, a := range m.Attempts() {
-		t := TaskView{Task: a.Task.String(), Try: a.Try, State: a.State.String(), Stops: a.Stop}
-		if a.State != fleet.Ended {
+		t := TaskView{Task: a.Task.String(), Try: a.Try, State: a.State().String(), Stops: a.Stopping()}
+		if a.State() != fleet.Ended {
 			_, ran := a.Took(now)
 			t.RanS = ran.Seconds()
 		}
--- a/internal/fleet/hearing.go
+++ b/internal/fleet/hearing.go
@@ -34,7 +34,7 @@
 	known := h.asked && h.via != "" && r.Via != "" // whether it stayed
 	sent := false
 	for _, a := range m.order {
-		if a.State == Sent {
+		if a.state == Sent {
 			sent = true
 			heard = heard || r.has(a)
 		}
--- a/internal/fleet/older.go
+++ b/internal/fleet/older.go
@@ -56,16 +56,16 @@
 // it is gone.
 func (t *Table) missing(m *Machine, a *Attempt, r *Report, isReport bool, now time.Time) bool {
 	switch {
-	case a.State == Planned:
+	case a.state == Planned:
 		return false
-	case a.State == Ended:
+	case a.state == Ended:
 		return true
-	case a.State == Sent && (!isReport || r.Tick <= a.SentTick):
+	case a.state == Sent && (!isReport || r.Tick <= a.SentTick):
 		// Guards against a double start: a run in flight is given up only when
 		// a later report lacks it. An answer to /orders or /status may have been
 		// made before the response with the run came in.
 		return false
-	case !isReport, a.State == Sent && !m.unsure(t.Lease, now) && !m.early(r, t.Term):
+	case !isReport, a.state == Sent && !m.unsure(t.Lease, now) && !m.early(r, t.Term):
 		return true
 	}
 	// No machine forgets a task that it had, but by starting anew; and a copy of a report
@@ -141,7 +141,7 @@
 	m.doubt.open = time.Time{}
 	out = t.Apply(r, false, now)
 	for _, a := range append([]*Attempt(nil), m.order...) {
-		if a.State == Sent && q.asked.Sub(a.Since) > workerPatience && !r.has(a) {
+		if a.state == Sent && q.asked.Sub(a.Since) > workerPatience && !r.has(a) {
 			out.gone(m, a)
 		}
 	}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -9,42 +9,6 @@
 	"drumpick/internal/packing"
 )
 
-// Attempt is one start of a task on one machine.
-type Attempt struct {
-	Task       TaskID
-	Try        uint64
-	Machine    *Machine
-	State      State
-	Cause      string
-	Saved      bool
-	SentTick   uint64 // tick of the report whose response carried the run
-	Since      time.Time
-	RunSince   time.Time // when it was first seen running
-	ReadySince time.Time // when it was first seen with its image there
-	Stop       bool
-	Why        string  // it was stopped; for whoever stops, nothing to the table
-	Grace      float64 // seconds given to save
-	StopAt     time.Time
-	Reap       bool          // may be removed from the worker's memory
-	Item       *packing.Item // its place in the machine's bin; nil once it has ended
-	Stray      bool          // not an attempt that we count as the task's own
-	Job        any           // whose task it is, for whoever plans; nothing to the table
-	body       uint64        // the machine's body that last had it
-}
-
-// Present says whether the attempt may be on its machine: everything that was
-// ever sent and has not been seen to end, runs in flight included.
-func (a *Attempt) Present() bool { return a.State != Planned && a.State != Ended }
-
-// Took tells how long the attempt waited on its machine and how long it has run; one
-// that never ran has waited all the time.
-func (a *Attempt) Took(now time.Time) (waited, ran time.Duration) {
-	if a.RunSince.IsZero() {
-		return now.Sub(a.Since), 0
-	}
-	return a.RunSince.Sub(a.Since), now.Sub(a.RunSince)
-}
-
 // Machine is one rented machine.
 type Machine struct {
 	Host, Addr, Type, Zone string
@@ -85,6 +49,7 @@
 	Changed  []packing.Kind // kinds of the items that left since the last round
 	Kept     any            // for whose sake it empties, for whoever plans; nothing to the table
 
+	table   *Table
 	order   []*Attempt // in the order they were added
 	body    uint64     // counts the bodies taken in
 	hearing hearing
@@ -97,7 +62,7 @@
 // Empty says whether nothing is, or may be, on the machine.
 func (m *Machine) Empty() bool {
 	for _, a := range m.order {
-		if a.State != Ended {
+		if a.state != Ended {
 			return false
 		}
 	}
@@ -147,12 +112,17 @@
 	Lease    time.Duration // a worker's lease with drift and margin
 	Machines map[string]*Machine
 	Forecast forecast.Params
+	// OnChange, where it is set, is told of each attempt that comes, changes, or goes.
+	OnChange func(a *Attempt)
+
 	sorted   []*Machine
+	byJob    map[string]map[*Attempt]struct{} // what machines list, by job
+	attempts uint64                           // how many there have been
 }
 
 // NewTable returns an empty table for a term.
 func NewTable(term uint64, lease time.Duration, p forecast.Params) *Table {
-	return &Table{Term: term, Lease: lease, Machines: map[string]*Machine{}, Forecast: p}
+	return &Table{Term: term, Lease: lease, Machines: map[string]*Machine{}, Forecast: p, byJob: map[string]map[*Attempt]struct{}{}}
 }
 
 // Sorted lists the machines by name, so that decisions repeat. The list stays as it
@@ -170,7 +140,7 @@
 	m := t.Machines[host]
 	if m == nil {
 		m = &Machine{
-			Host: host, Addr: addr, Type: typ, Zone: zone, Spot: spot,
+			table: t, Host: host, Addr: addr, Type: typ, Zone: zone, Spot: spot,
 			ErrorJobs: map[string]int{},
 			Bin:       packing.NewBin(host, packing.Vec{}), Forecast: forecast.New(t.Forecast),
 		}
@@ -192,7 +162,7 @@
 func (t *Table) Plan(m *Machine, task TaskID, try uint64, it *packing.Item, now time.Time) *Attempt {
 	a := &Attempt{Task: task, Try: try, Machine: m, Item: it, Since: now}
 	it.Owner = a
-	m.order = append(m.order, a)
+	m.list(a)
 	return a
 }
 
@@ -208,16 +178,9 @@
 
 // Hold gives an attempt found on the machine its place there.
 func (m *Machine) Hold(a *Attempt, it *packing.Item) {
-	it.Owner, a.Item = a, it
+	it.Owner = a
 	m.Bin.Add(it)
-}
-
-// Forget removes an attempt and gives its room back.
-func (m *Machine) Forget(a *Attempt) {
-	m.free(a)
-	if i := slices.Index(m.order, a); i >= 0 {
-		m.order = slices.Delete(m.order, i, i+1)
-	}
+	a.setItem(it)
 }
 
 func (m *Machine) free(a *Attempt) {
@@ -229,7 +192,7 @@
 	if len(m.Changed) < 2*packing.MostChange {
 		m.Changed = append(m.Changed, packing.Classify(size))
 	}
-	a.Item = nil
+	a.setItem(nil)
 }
 
 // Outcome is what a body changed.
@@ -266,8 +229,8 @@
 	m.hear(r, isReport, t.Term, now)
 	if m.Up && r.Stint > m.Stint && !(isReport && (m.doubt.anew || m.early(r, t.Term))) {
 		// A new stint: the worker killed and forgot everything.
-		for _, a := range append([]*Attempt(nil), m.order...) {
-			if a.State != Planned {
+		for _, a := range slices.Clone(m.order) {
+			if a.state != Planned {
 				out.gone(m, a)
 			}
 		}
@@ -305,8 +268,8 @@
 		st, _ := parseState(tr.Status)
 		a := m.attempt(task, tr.Try)
 		if a == nil {
-			a = &Attempt{Task: task, Try: tr.Try, Machine: m, Since: now, State: st, Cause: tr.Cause, Saved: tr.Saved, body: m.body}
-			m.order = append(m.order, a)
+			a = &Attempt{Task: task, Try: tr.Try, Machine: m, Since: now, state: st, Cause: tr.Cause, Saved: tr.Saved, body: m.body}
+			m.list(a)
 			if st == Running {
 				a.RunSince = now
 				out.Running = append(out.Running, a)
@@ -316,10 +279,10 @@
 			continue
 		}
 		a.body = m.body
-		if a.State == Ended {
+		if a.state == Ended {
 			continue
 		}
-		if a.State != st {
+		if a.state != st {
 			out.Changed = true
 			if (st == Running || st == Waiting) && a.ReadySince.IsZero() {
 				a.ReadySince = now
@@ -329,7 +292,8 @@
 				out.Running = append(out.Running, a)
 			}
 		}
-		a.State, a.Cause, a.Saved = st, tr.Cause, tr.Saved
+		a.Cause, a.Saved = tr.Cause, tr.Saved
+		a.setState(st)
 		if st == Ended {
 			m.free(a)
 			out.Ended = append(out.Ended, a)
@@ -349,7 +313,7 @@
 func (o *Outcome) gone(m *Machine, a *Attempt) {
 	m.Forget(a)
 	o.Changed = true
-	if a.State != Ended {
+	if a.state != Ended {
 		o.Gone = append(o.Gone, a)
 	}
 }
@@ -365,14 +329,7 @@
 	if i, ok := t.find(host); ok {
 		t.sorted = slices.Delete(slices.Clone(t.sorted), i, i+1)
 	}
-	var gone []*Attempt
-	for _, a := range append([]*Attempt(nil), m.order...) {
-		m.Forget(a)
-		if a.State != Ended {
-			gone = append(gone, a)
-		}
-	}
-	return gone
+	return m.forgetAll()
 }
 
 // Expire finds settled machines whose lease has surely ended: no 200 was
@@ -385,12 +342,7 @@
 			continue
 		}
 		m.Lost = true
-		for _, a := range append([]*Attempt(nil), m.order...) {
-			m.Forget(a)
-			if a.State != Ended {
-				gone = append(gone, a)
-			}
-		}
+		gone = append(gone, m.forgetAll()...)
 	}
 	return gone
 }
@@ -404,12 +356,7 @@
 		}
 		machines++
 		m.Lapsed, m.Lost = true, true
-		for _, a := range append([]*Attempt(nil), m.order...) {
-			m.Forget(a)
-			if a.State != Ended {
-				gone = append(gone, a)
-			}
-		}
+		gone = append(gone, m.forgetAll()...)
 	}
 	return machines, gone
 }
@@ -456,13 +403,13 @@
 func (m *Machine) Orders() []Order {
 	orders := []Order{}
 	for _, a := range m.order {
-		if a.State == Ended && a.Reap {
+		if a.state == Ended && a.Reap {
 			orders = append(orders, Order{Verb: VerbReap, Shot: a.Task.String(), Try: a.Try})
 		}
 	}
 	for _, a := range m.order {
-		if a.Stop && a.Present() {
-			g := a.Grace
+		if a.stop && a.Present() {
+			g := a.grace
 			orders = append(orders, Order{Verb: VerbKill, Shot: a.Task.String(), Try: a.Try, WindDownS: &g})
 		}
 	}
