A placing no longer looks at every job, and teams with limits give up as soon as others do

Cause: a start cost the leader more the larger the fleet, and with 48 limited teams several times as much. Profiles of BenchmarkInterval (a report interval of the core with ticks, rentals and returns; no bench) at 7,584 machines name, after the scan of use by team: jobs of limited teams that each searched all bins though one alike had found no room; room saved for the largest, asked of every job at each placing; a look at every job's turn; claims; use by team summed up for 48 teams; the search for a bin, whose candidates were worked out anew for each combination of preferred marks.

Now the order of placing keeps who has tasks to start (a job is woken when a task comes back), and passes over all turns alike at once; what a limited team found no room for counts for those alike as well, where that can't hide which ordinary machines were lacked; jobs that may need room saved are listed when the order is worked out; complete jobs are kept, not searched at each report; a search gathers its candidates once.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -27,23 +27,41 @@
 	hosts []*fleet.Report
 	jobs  int
 	at    int
+	teams int  // that submit by turns
+	full  bool // time is passed by whoever plays it
 	chain bool // every job needs the two before it of its kind, as far as they are open
 }
 
 func newSite(b *testing.B, machines int, chain bool) *site {
+	return newSharedSite(b, machines, 1, 5, chain)
+}
+
+// newSharedSite is shared by teams, each with a guarantee and a limit if there are several, as many
+// together as the users plan for. Every machine reports so many times before it is measured.
+func newSharedSite(b *testing.B, machines, teams, reports int, chain bool) *site {
 	slog.SetDefault(slog.New(slog.DiscardHandler))
 	cfg := &config.Config{Options: config.DefaultOptions()}
-	cfg.Facts.Workers = config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 5, CancelS: 30}
+	if teams > 1 {
+		cfg.Options.Guarantees, cfg.Options.Largest = true, true
+	}
+	cfg.Facts.Workers = config.Workers{ReportS: 5, LeaseS: 24, GangWaitS: 30, GangPeerS: 5, CancelS: 30}
 	cfg.Facts.State.ValueKB = 8
 	cfg.Facts.Cloud.ListLagS = 3
 	cfg.Facts.Zones = []string{"a", "b"}
-	cfg.Facts.Teams = []config.Team{{Name: "team"}}
-	s := &site{now: time.Unix(1_000_000, 0), r: rand.New(rand.NewPCG(1, 2)), chain: chain}
+	s := &site{now: time.Unix(1_000_000, 0), r: rand.New(rand.NewPCG(1, 2)), chain: chain, teams: teams}
+	for i := range teams {
+		team := config.Team{Name: teamName(i)}
+		if teams > 1 {
+			share := 4 * float64(machines) / float64(teams)
+			team.CPUs, team.CPUsMax = 0.4*share, 2*share
+		}
+		cfg.Facts.Teams = append(cfg.Facts.Teams, team)
+	}
 	s.core = NewCore(SettingsOf(cfg), 5, s.now)
-	s.core.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, CacheGB: 40, Zones: []string{"a", "b"}}})
+	s.core.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, StartupS: 20, CacheGB: 40, FetchGBps: 1, Zones: []string{"a", "b"}}})
 	s.core.CheckSettled(s.now)
 	s.core.rent.ready = true
-	for range 100 {
+	for range max(100, machines/10) {
 		s.submit()
 	}
 	for i := range machines {
@@ -52,17 +70,19 @@
 		s.report()
 		s.core.fleet.Machines[h].Recorded = true
 	}
-	for range 5 * machines {
+	for range reports * machines {
 		s.report()
 	}
 	b.ResetTimer()
 	return s
 }
 
+func teamName(i int) string { return fmt.Sprint("team-", i) }
+
 func (s *site) submit() {
 	s.jobs++
 	j := ledger.Job{
-		ID: fmt.Sprintf("j-%06d", s.jobs), Team: "team", Shape: ledger.ShapeBatch, Priority: ledger.PrioNormal, Tasks: 20 + s.r.IntN(200),
+		ID: fmt.Sprintf("j-%06d", s.jobs), Team: teamName(s.jobs % s.teams), Shape: ledger.ShapeBatch, Priority: ledger.PrioNormal, Tasks: 20 + s.r.IntN(200),
 		CPUs: 1, MemGB: 3.6, Image: fmt.Sprint("img-", s.r.IntN(16)), ImageGB: 1, EstimateS: 18, Spot: true, AcceptedMS: s.now.UnixMilli(),
 	}
 	switch s.jobs % 4 {
@@ -86,7 +106,9 @@
 // report lets the next machine end some of its tasks, report and obey.
 func (s *site) report() {
 	s.at = (s.at + 1) % len(s.hosts)
-	s.now = s.now.Add(4 * time.Millisecond)
+	if !s.full {
+		s.now = s.now.Add(4 * time.Millisecond)
+	}
 	r := s.hosts[s.at]
 	r.Tick++
 	for i := range r.Tasks {
@@ -117,11 +139,11 @@
 	}
 	for id, j := range s.core.jobs {
 		copy(j.stored, j.done)
-		if s.core.complete(j) {
+		if j.nDone == j.Tasks && !j.finishing {
 			s.core.Over(id, ledger.Over{Status: ledger.StatusDone, AtMS: s.now.UnixMilli()}, 20)
 			s.submit()
 		}
-		break
+		break // another one each time
 	}
 }
 
@@ -142,6 +164,77 @@
 	}
 }
 
+// BenchmarkPlanning is a planning by size: a report, the placing that follows where it changed
+// something, and the answer.
+func BenchmarkPlanning(b *testing.B) {
+	for _, machines := range []int{1000, 4000, 8000} {
+		for _, teams := range []int{1, 8, 48} {
+			b.Run(fmt.Sprintf("machines=%d/teams=%d", machines, teams), func(b *testing.B) {
+				s := newSharedSite(b, machines, teams, 1, false)
+				for b.Loop() {
+					s.report()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkTickShared is a tick by size.
+func BenchmarkTickShared(b *testing.B) {
+	for _, machines := range []int{1000, 4000, 8000} {
+		for _, teams := range []int{1, 48} {
+			b.Run(fmt.Sprintf("machines=%d/teams=%d", machines, teams), func(b *testing.B) {
+				s := newSharedSite(b, machines, teams, 1, false)
+				for b.Loop() {
+					s.tick()
+				}
+			})
+		}
+	}
+}
+
+// interval plays one report interval: every machine reports once, ticks come in between, and once a
+// second it is decided what to rent and to give back. It returns how many tasks started.
+func (s *site) interval() (starts int) {
+	const step = 5 * time.Second
+	before := runsTotal.Get()
+	began := s.now
+	for i := range s.hosts {
+		s.now = began.Add(step * time.Duration(i) / time.Duration(len(s.hosts)))
+		if i%(len(s.hosts)/TickShare+1) == 0 {
+			s.core.Tick(s.now, true)
+			s.core.Calls()
+		}
+		if i%(len(s.hosts)/5+1) == 0 {
+			s.core.Wants(s.now)
+			clear(s.core.rent.inflight)
+			s.core.Returns(s.now)
+		}
+		s.report()
+	}
+	s.now = began.Add(step)
+	return int(runsTotal.Get() - before)
+}
+
+// BenchmarkInterval is what a report interval costs a leader, and what that is for a start, at one, three
+// and six times the size of a large deployment.
+func BenchmarkInterval(b *testing.B) {
+	for _, machines := range []int{1264, 3792, 7584} {
+		for _, teams := range []int{1, 48} {
+			b.Run(fmt.Sprintf("machines=%d/teams=%d", machines, teams), func(b *testing.B) {
+				s := newSharedSite(b, machines, teams, 1, false)
+				s.full = true
+				starts := 0
+				for b.Loop() {
+					starts += s.interval()
+				}
+				b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(max(starts, 1)), "us/start")
+				b.ReportMetric(float64(starts)/float64(b.N), "starts/op")
+			})
+		}
+	}
+}
+
 func BenchmarkReportChains(b *testing.B) {
 	s := newSite(b, *benchMachines, true)
 	for b.Loop() {
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -34,6 +34,9 @@
 	if j.claims = append(j.claims, claim{m, now}); len(j.claims) == 1 {
 		c.owners = append(c.owners, j)
 	}
+	if c.placing != nil {
+		c.placing.keep(j)
+	}
 }
 
 // keepPlace makes the place that a task of a broken gang leaves the gang's own: it has
@@ -78,7 +81,7 @@
 // useClaims starts tasks of a job that need not start together in room of its own, as
 // far as it is free.
 func (c *Core) useClaims(j *Job, used map[string]usage.Amount, zones map[string]int, now time.Time) {
-	limited := c.limited(j.Team)
+	limited := j.limited
 	for i := 0; i < len(j.claims); {
 		t, m := j.peek(), j.claims[i].m
 		if t < 0 || limited && !c.withinLimit(j, used[j.Team]) {
@@ -128,23 +131,14 @@
 		return
 	}
 	for i := len(j.claims) - 1; i >= 0; i-- {
-		if m := j.claims[i].m; c.fleet.Machines[m.Host] != m || !c.open(m, now) {
+		if m := j.claims[i].m; m.Dropped() || !c.open(m, now) {
 			c.disown(j, i)
 		}
 	}
-	wants, coming := j.pending(), j.gangBroken
-	for _, a := range j.held {
-		if a.Stopping() {
-			wants++ // it moves
-			coming = true
-		}
-	}
-	for len(j.claims) > wants {
+	for wants := c.claimable(j); len(j.claims) > wants; {
 		c.disown(j, len(j.claims)-1)
 	}
-	for _, cl := range j.claims {
-		coming = coming || slices.ContainsFunc(cl.m.Attempts(), leaves)
-	}
+	coming := c.isComing(j)
 	for i := len(j.claims) - 1; i >= 0; i-- {
 		switch cl := &j.claims[i]; {
 		case coming || j.saving != "":
@@ -157,6 +151,40 @@
 	}
 }
 
+// claimable is for how many of a job's tasks room may be its own: those that wait, and those that
+// move, up to as many as it has claims for.
+func (c *Core) claimable(j *Job) int {
+	n := j.pending()
+	if n >= len(j.claims) {
+		return n
+	}
+	for _, a := range j.held {
+		if a.Stopping() {
+			n++
+		}
+	}
+	return n
+}
+
+// isComing says whether room of a job's own is on its way: somebody there is being stopped, or one
+// of its own tasks that is to move there.
+func (c *Core) isComing(j *Job) bool {
+	if j.gangBroken {
+		return true
+	}
+	for _, cl := range j.claims {
+		if slices.ContainsFunc(cl.m.Attempts(), leaves) {
+			return true
+		}
+	}
+	for _, a := range j.held {
+		if a.Stopping() {
+			return true
+		}
+	}
+	return false
+}
+
 // leaves says whether an attempt is being stopped, and its room on its way.
 func leaves(a *fleet.Attempt) bool { return a.Stopping() && a.Present() && a.Item != nil }
 
--- a/internal/dispatch/claims_test.go
+++ b/internal/dispatch/claims_test.go
@@ -201,7 +201,7 @@
 		if _, runs := zones[id]; runs {
 			y.began[id] = true
 		}
-		if y.began[id] || len(j.stopped) == 0 || y.c.limited(j.Team) {
+		if y.began[id] || len(j.stopped) == 0 || j.limited {
 			continue
 		}
 		// What is stopped saves for up to 4 s, then its machine reports, then the other one.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -102,7 +102,11 @@
 	nDone        int
 	dirty        map[int]bool // parts to be stored
 
+	team    config.Team // what the settings say of its team
+	limited bool        // the team has a limit
+
 	next   int      // tasks from here on were never tried
+	beyond bool     // some of these may be held all the same, adopted after a takeover
 	again  []int    // tasks to be tried again
 	listed []uint64 // bit set of what again holds
 	held   map[int]*fleet.Attempt
@@ -190,24 +194,26 @@
 
 // Core is the leader's memory for one term.
 type Core struct {
-	set     Settings
-	term    uint64
-	seq     uint64
-	jobs    map[string]*Job
-	chain   *chain.Graph // of the same jobs and those that they name
-	alike   map[likeness]int
-	sorted  []*Job
-	order   []turn // the same jobs as they are placed
-	resort  bool
-	types   map[string]ledger.MachineType
-	names   []string                  // machine types, cheapest first
-	spaces  map[string]*packing.Space // the bins of each type
-	opened  time.Time                 // when it was last looked at which machines take tasks
-	now     time.Time                 // of the placing or round under way
-	fleet   *fleet.Table
-	usage   *usage.Account // of what the attempts in fleet take, by team
-	settled bool
-	began   time.Time
+	set      Settings
+	term     uint64
+	seq      uint64
+	jobs     map[string]*Job
+	complete map[*Job]struct{} // of these, those of which every task is done
+	chain    *chain.Graph      // of the same jobs and those that they name
+	alike    map[likeness]int
+	sorted   []*Job
+	order    *placingOrder // of the same jobs
+	placing  *placingTurns // of the placing under way; nil: there is none
+	resort   bool
+	types    map[string]ledger.MachineType
+	names    []string                  // machine types, cheapest first
+	spaces   map[string]*packing.Space // the bins of each type
+	opened   time.Time                 // when it was last looked at which machines take tasks
+	now      time.Time                 // of the placing or round under way
+	fleet    *fleet.Table
+	usage    *usage.Account // of what the attempts in fleet take, by team
+	settled  bool
+	began    time.Time
 
 	rent        rentState
 	freed       flow
@@ -227,6 +233,7 @@
 	keepers     []*Job            // jobs for whose sake machines are kept
 	keeper      *Job              // the one of them that is served last, for the placing under way
 	scarce      *guarantee.Scarce // which ordinary machines are too few for those who may use no others
+	savers      []*Job            // jobs for which room may have to be saved
 	owners      []*Job            // jobs that have claims
 	served      *served.Account   // who came and who began
 	toldServed  time.Time         // when that was last told
@@ -245,7 +252,7 @@
 		fleet: fleet.NewTable(term, set.Lease, set.Forecast), began: now, kick: map[string]bool{}, marks: newMarks(),
 		means: means.New(set.Report, set.Report/TickShare), cuts: zones.New(set.Lease),
 		scarce: guarantee.NewScarce(), served: served.New(), toldServed: now, rent: newRentState(), spaces: map[string]*packing.Space{},
-		usage: usage.NewAccount(),
+		usage: usage.NewAccount(), order: newPlacingOrder(nil, nil), complete: map[*Job]struct{}{},
 	}
 	c.fleet.OnChange = c.charge
 	return c
@@ -335,6 +342,7 @@
 		}
 	}
 	c.liken(j)
+	j.ofTeam(c.set.Teams[j.Team])
 	c.jobs[rec.ID] = j
 	c.resort, c.dirty = true, true
 	c.served.Came(j.ID, j.Class, j.Team, float64(j.Tasks)*max(j.req.CPU, j.req.GPU), j.base)
@@ -361,13 +369,20 @@
 			if j.Shape == ledger.ShapeGroup {
 				c.markDone(j, n) // and so its mates, which may not be stored
 			} else if !has(j.done, n) {
-				j.done[n/64] |= 1 << (n % 64)
-				j.nDone++
+				c.noteDone(j, n)
 			}
 		}
 	})
 }
 
+// noteDone notes that a task is done which was not.
+func (c *Core) noteDone(j *Job, n int) {
+	j.done[n/64] |= 1 << (n % 64)
+	if j.nDone++; j.nDone == j.Tasks {
+		c.complete[j] = struct{}{}
+	}
+}
+
 // LoadHost takes in a machine that an earlier term may have used.
 func (c *Core) LoadHost(host string, h ledger.Host, now time.Time) {
 	m := c.fleet.Ensure(host, h.Addr, h.Type, h.Zone, h.Spot)
@@ -391,6 +406,7 @@
 	c.served.Over(id, j.nDone == j.Tasks, c.now)
 	c.giveUp(j)
 	delete(c.jobs, id)
+	delete(c.complete, j)
 	c.closed = append(c.closed, id)
 	c.resort, c.dirty = true, true
 	for _, a := range c.fleet.OfJob(id) {
@@ -474,8 +490,7 @@
 	}
 	for n := first; n <= last; n++ {
 		if !has(j.done, n) {
-			j.done[n/64] |= 1 << (n % 64)
-			j.nDone++
+			c.noteDone(j, n)
 			j.dirty[c.part(n)] = true
 		}
 	}
@@ -496,6 +511,9 @@
 		}
 		i++
 	}
+	if !j.beyond {
+		return n
+	}
 	// Tasks beyond next that are held (adopted after a takeover).
 	for t := range j.held {
 		if (t >= j.next || j.doubtful(t)) && !has(j.done, t) {
@@ -534,6 +552,16 @@
 	return -1
 }
 
+// idle says whether no task of the job waits to be started, now or when others of its attempts
+// are gone.
+func (j *Job) idle() bool { return len(j.again) == 0 && j.next >= j.Tasks }
+
+// retry puts a task back into the queue.
+func (c *Core) retry(j *Job, t int) {
+	j.push(t)
+	c.order.wake(j)
+}
+
 // push and pop keep the list of tasks to be tried again free of repeats: a task
 // can be given back twice when a second attempt of it was about. What is in doubt
 // joins the list when it no longer is.
@@ -568,7 +596,7 @@
 	if j.held[a.Task.N] == a {
 		delete(j.held, a.Task.N)
 		if a.Task.N < j.next && !has(j.done, a.Task.N) {
-			j.push(a.Task.N)
+			c.retry(j, a.Task.N)
 		}
 		if j.Shape == ledger.ShapeGroup {
 			c.keepPlace(j, a)
@@ -585,7 +613,7 @@
 		if j.strays[a.Task.N]--; j.strays[a.Task.N] <= 0 {
 			delete(j.strays, a.Task.N)
 			if a.Task.N < j.next && j.held[a.Task.N] == nil && !has(j.done, a.Task.N) {
-				j.push(a.Task.N)
+				c.retry(j, a.Task.N)
 			}
 		}
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -146,7 +146,7 @@
 		(j.Shape != ledger.ShapeGroup || j.gangTry == 0 || j.gangTry == a.Try)
 	if fits && a.Try>>24 != c.term {
 		a.Stray = false
-		j.held[a.Task.N] = a
+		j.held[a.Task.N], j.beyond = a, true
 		if j.Shape == ledger.ShapeGroup {
 			j.gangTry = a.Try
 		}
--- a/internal/dispatch/keep.go
+++ b/internal/dispatch/keep.go
@@ -50,7 +50,7 @@
 		if left == 0 {
 			return
 		}
-		if j.alike == 0 || c.smallestShare(j) <= smallest+1e-9 || c.limited(j.Team) {
+		if j.alike == 0 || c.smallestShare(j) <= smallest+1e-9 || j.limited {
 			continue
 		}
 		if listed != j.alike {
--- a/internal/dispatch/largest.go
+++ b/internal/dispatch/largest.go
@@ -21,7 +21,8 @@
 		return
 	}
 	var due []*Job
-	for _, j := range c.queue(now) {
+	c.queue(now)
+	for _, j := range c.savers {
 		if c.saves(j, now) {
 			due = append(due, j)
 		}
@@ -59,6 +60,19 @@
 	}
 }
 
+// chooseSavers lists, in the order of the queue, the jobs for which room may have to be saved until
+// the order is worked out anew: gangs, which may begin anew, and arrays of which nothing has begun.
+func (c *Core) chooseSavers() {
+	c.savers = c.savers[:0]
+	for _, j := range c.sorted {
+		if j.Shape == ledger.ShapeGroup || j.Shape == ledger.ShapeBatch && j.nDone == 0 && !j.began.told {
+			c.savers = append(c.savers, j)
+		} else {
+			j.saving = ""
+		}
+	}
+}
+
 // waitsSince is from when a job's wait for its begin counts.
 func (j *Job) waitsSince() time.Time {
 	if j.broke.After(j.base) {
@@ -77,7 +91,7 @@
 	case j.Shape == ledger.ShapeGroup:
 		is = j.gangTry == 0 && c.wanted(j) >= j.pending()
 	default:
-		is = j.Shape == ledger.ShapeBatch && j.nDone == 0 && !j.began.told && c.wanted(j) > 0 && largest.Due(waited, 0, c.set.Begin)
+		is = j.Shape == ledger.ShapeBatch && j.nDone == 0 && !j.began.told && largest.Due(waited, 0, c.set.Begin) && c.wanted(j) > 0
 	}
 	if !is {
 		j.saving = ""
--- a/internal/dispatch/marks.go
+++ b/internal/dispatch/marks.go
@@ -50,7 +50,8 @@
 		return
 	}
 	was := j.doubt
-	j.doubt, c.dirty = nil, true
+	j.doubt, j.beyond, c.dirty = nil, true, true
+	c.order.wake(j)
 	if len(j.again) == 0 {
 		j.next = 0 // what is held, done or astray is passed over
 		return
@@ -72,6 +73,7 @@
 			continue
 		}
 		j.next = n
+		c.order.wake(j)
 		if n == 0 {
 			j.doubt = nil
 			continue
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -37,7 +37,8 @@
 		c.guarantees(now)
 		c.turns(now)
 		sort.SliceStable(c.sorted, func(a, b int) bool { return before(c.sorted[a], c.sorted[b]) })
-		c.inOrder()
+		c.order = newPlacingOrder(c.sorted, c.fetch)
+		c.chooseSavers()
 	}
 	return c.sorted
 }
@@ -70,36 +71,6 @@
 	return 1
 }
 
-// turn is a job's place in the order of placing: on machines that have its image,
-// or on any.
-type turn struct {
-	j     *Job
-	at    time.Time
-	ready bool
-}
-
-// inOrder orders the jobs for placing. Where its image has to be fetched first, a
-// job's turn comes later by as long as the fetch takes: the place would stand idle
-// for that time, while a job that came that much later can use it at once. Images
-// can take as long as the tasks, and each machine fetches each for itself.
-func (c *Core) inOrder() {
-	c.order = c.order[:0]
-	for _, j := range c.sorted {
-		fetch := 2 * c.fetch(j)
-		if fetch > 0 && j.Shape != ledger.ShapeGroup {
-			c.order = append(c.order, turn{j, j.turn, true})
-		}
-		c.order = append(c.order, turn{j, j.turn.Add(fetch), false})
-	}
-	sort.SliceStable(c.order, func(a, b int) bool {
-		x, y := c.order[a], c.order[b]
-		if d := precedence(x.j, y.j); d != 0 {
-			return d < 0
-		}
-		return x.at.Before(y.at)
-	})
-}
-
 // fetch is how long a machine that suits a job, and has room for its tasks at all, takes to
 // fetch its image.
 func (c *Core) fetch(j *Job) time.Duration {
--- a/internal/dispatch/owed.go
+++ b/internal/dispatch/owed.go
@@ -36,7 +36,7 @@
 // lacked notes that a job of a team with a guarantee found no room, and may use ordinary
 // machines alone. What its team's limit holds back lacks none.
 func (c *Core) lacked(j *Job, used usage.Amount, now time.Time) {
-	if !c.set.Guarantees || j.Spot || !guarantee.Any(c.set.Teams[j.Team]) || c.limited(j.Team) && !c.withinLimit(j, used) {
+	if !c.set.Guarantees || j.Spot || !guarantee.Any(j.team) || j.limited && !c.withinLimit(j, used) {
 		return
 	}
 	for _, name := range c.names {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"drumpick/internal/fleet"
+	"drumpick/internal/guarantee"
 	"drumpick/internal/ledger"
 	"drumpick/internal/means"
 	"drumpick/internal/packing"
@@ -24,7 +25,7 @@
 	if c.settled {
 		return true
 	}
-	return (j.doubt == nil || j.Shape != ledger.ShapeGroup) && !c.limited(j.Team) && !j.OneZone && !j.Apart
+	return (j.doubt == nil || j.Shape != ledger.ShapeGroup) && !j.limited && !j.OneZone && !j.Apart
 }
 
 // open says whether a machine may be given new tasks.
@@ -92,54 +93,83 @@
 func (c *Core) place(now time.Time) {
 	c.dirty = false
 	c.reopen(now)
-	failed := make([]*Job, len(c.alike)+1) // by the number of jobs alike, the first of them that found no room
-	// What one found no room for, those alike that are served after it find none for
-	// either. Guards against one that comes first only as it has less to fetch, and finds
-	// but machines that are kept for the sake of another: that one may use them.
-	hopeless := func(j *Job, alike int) bool {
-		return alike > 0 && failed[alike] != nil && !before(j, failed[alike])
-	}
-	used := map[string]usage.Amount{}
+	p := &placing{c: c, now: now, used: map[string]usage.Amount{}, failed: make([]*Job, len(c.alike)+1)}
 	c.queue(now)
 	c.keeper = c.lastKeeper()
 	c.reviewClaims(now)
 	c.saveRoom(now)
-	for _, t := range c.order {
-		j, alike, only := t.j, t.j.alike, ""
-		if t.ready {
-			alike, only = j.twins, j.ready
-		}
-		if hopeless(j, alike) && len(j.claims) == 0 || !c.startable(j, now) || j.peek() < 0 {
+	turns := c.order.begin(c.owners)
+	c.placing = turns
+	defer func() { c.placing = nil }()
+	for t, more := turns.next(); more; t, more = turns.next() {
+		if t.j.idle() {
+			turns.sleep()
 			continue
 		}
-		limited := c.limited(j.Team)
-		if _, ok := used[j.Team]; limited && !ok {
-			used[j.Team] = c.usage.Committed(j.Team)
-		}
-		var ok bool
-		if j.Shape == ledger.ShapeGroup {
-			mine := c.lift(j)
-			if ok = c.placeGang(j, used, now); !ok {
-				c.lay(j, mine)
-			}
-		} else {
-			zones := c.bounds(j)
-			c.useClaims(j, used, zones, now)
-			ok = hopeless(j, alike) || c.placeTasks(j, only, used, zones, now)
+		hopeless := p.hopeless(t)
+		if hopeless {
+			turns.skipAlike()
 		}
-		if !ok && only == "" {
-			c.lacked(j, used[j.Team], now)
-		}
-		if !ok && !limited {
-			failed[alike] = j
+		p.take(t, hopeless)
+	}
+}
+
+// placing is one look at all that waits.
+type placing struct {
+	c      *Core
+	now    time.Time
+	used   map[string]usage.Amount // by teams with a limit, what is planned here included
+	failed []*Job                  // by likeness, the first that found no room
+}
+
+// hopeless says whether a turn's job finds no room as one like it, which is served before it, found
+// none. Guards against one that comes first only as it has less to fetch, and finds
+// but machines that are kept for the sake of another: that one may use them.
+func (p *placing) hopeless(t turn) bool {
+	first := p.failed[t.likeness()]
+	return t.likeness() > 0 && first != nil && !before(t.j, first)
+}
+
+// take places the tasks of a job whose turn it is.
+func (p *placing) take(t turn, hopeless bool) {
+	c, j, only := p.c, t.j, ""
+	if t.ready {
+		only = j.ready
+	}
+	if hopeless && len(j.claims) == 0 || !c.startable(j, p.now) || j.peek() < 0 {
+		return
+	}
+	if _, known := p.used[j.Team]; !known && j.limited {
+		p.used[j.Team] = c.usage.Committed(j.Team)
+	}
+	var ok bool
+	if j.Shape == ledger.ShapeGroup {
+		mine := c.lift(j)
+		if ok = c.placeGang(j, p.used, p.now); !ok {
+			c.lay(j, mine)
 		}
+	} else {
+		zones := c.bounds(j)
+		c.useClaims(j, p.used, zones, p.now)
+		ok = hopeless || c.placeTasks(j, only, p.used, zones, p.now)
+	}
+	if ok {
+		return
+	}
+	if only == "" {
+		c.lacked(j, p.used[j.Team], p.now)
+	}
+	// What ordinary machines lacked is noted by the first that finds no room, so that has to be one
+	// whose team has a guarantee.
+	if j.Spot || !j.limited || guarantee.Any(j.team) {
+		p.failed[t.likeness()] = j
 	}
 }
 
 // placeTasks places as many tasks of a job as possible, only on machines with a
 // mark unless it is "". It returns false when some had no room.
 func (c *Core) placeTasks(j *Job, only string, used map[string]usage.Amount, zones map[string]int, now time.Time) bool {
-	limited := c.limited(j.Team)
+	limited := j.limited
 	for {
 		t := j.peek()
 		if t < 0 {
@@ -208,7 +238,7 @@
 			if t < 0 {
 				break
 			}
-			if c.limited(j.Team) && !c.withinLimit(j, sum) {
+			if j.limited && !c.withinLimit(j, sum) {
 				ok = false
 				break
 			}
@@ -233,7 +263,7 @@
 		for _, a := range placed {
 			a.Machine.Forget(a)
 			delete(j.held, a.Task.N)
-			j.push(a.Task.N)
+			c.retry(j, a.Task.N)
 		}
 		c.seq = mark // nothing was sent under the number
 	}
@@ -423,7 +453,7 @@
 	if (j.OneZone || j.Apart) && !j.zoneOK(m.Zone, c.zones(j, false)) {
 		return false
 	}
-	if c.limited(j.Team) && !c.withinLimit(j, c.usage.InUse(j.Team)) {
+	if j.limited && !c.withinLimit(j, c.usage.InUse(j.Team)) {
 		return false
 	}
 	var sum packing.Vec
--- a/internal/dispatch/quota.go
+++ b/internal/dispatch/quota.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"drumpick/internal/config"
 	"drumpick/internal/fleet"
 	"drumpick/internal/usage"
 )
@@ -8,6 +9,11 @@
 // quotaSlack forgives the rounding of decimal amounts where a quota is compared.
 const quotaSlack = 1e-9
 
+// ofTeam gives the job what the settings say of its team.
+func (j *Job) ofTeam(t config.Team) {
+	j.team, j.limited = t, t.CPUsMax > 0 || t.GPUsMax > 0
+}
+
 // quota is what one task of the job counts for.
 func (j *Job) quota() usage.Amount { return usage.Amount{CPUs: j.req.CPU, GPUs: j.req.GPU} }
 
@@ -45,16 +51,10 @@
 	return charge
 }
 
-// limited says whether a team has a limit.
-func (c *Core) limited(team string) bool {
-	t := c.set.Teams[team]
-	return t.CPUsMax > 0 || t.GPUsMax > 0
-}
-
 // withinLimit says whether one more task of the job is within its team's limit, beside what is
 // used.
 func (c *Core) withinLimit(j *Job, used usage.Amount) bool {
-	t := c.set.Teams[j.Team]
+	t := j.team
 	sum := used.Add(j.quota())
 	return (t.CPUsMax == 0 || sum.CPUs <= t.CPUsMax+quotaSlack) && (t.GPUsMax == 0 || sum.GPUs <= t.GPUsMax+quotaSlack)
 }
@@ -62,10 +62,10 @@
 // wanted is how many of a job's tasks wait and are within its team's limit.
 func (c *Core) wanted(j *Job) int {
 	n := j.pending() + j.leaving
-	if !c.limited(j.Team) {
+	if !j.limited {
 		return n
 	}
-	t, used := c.set.Teams[j.Team], c.usage.Committed(j.Team)
+	t, used := j.team, c.usage.Committed(j.Team)
 	if t.CPUsMax > 0 && j.CPUs > 0 {
 		n = min(n, int((t.CPUsMax-used.CPUs)/j.CPUs+quotaSlack))
 	}
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -176,8 +176,8 @@
 		slog.Info("job cancelled with one before it", "job", id, "term", c.term)
 		ws = append(ws, c.finish(j, ledger.Over{Status: ledger.StatusCancelled}))
 	}
-	for _, j := range c.jobs {
-		if !c.complete(j) {
+	for j := range c.complete {
+		if j.finishing {
 			continue
 		}
 		if !fits(2, 2*perOp) {
@@ -331,14 +331,10 @@
 
 // Unstored says whether a job is complete but not yet stored as done.
 func (c *Core) Unstored() bool {
-	for _, j := range c.jobs {
-		if c.complete(j) {
+	for j := range c.complete {
+		if !j.finishing {
 			return true
 		}
 	}
 	return false
 }
-
-func (c *Core) complete(j *Job) bool {
-	return j.nDone == j.Tasks && !j.finishing && j.Shape != ledger.ShapeService
-}
--- /dev/null
+++ b/internal/dispatch/turns.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"math/bits"
+	"slices"
+	"sort"
+	"time"
+
+	"drumpick/internal/ledger"
+)
+
+// turn is a job's place in the order of placing: on machines that have its image,
+// or on any.
+type turn struct {
+	j     *Job
+	at    time.Time
+	ready bool
+}
+
+// likeness is the number that the turn shares with those that find no room where it finds none;
+// 0: there are none.
+func (t turn) likeness() int {
+	if t.ready {
+		return t.j.twins
+	}
+	return t.j.alike
+}
+
+// positions is a set of places in the order of placing.
+type positions []uint64
+
+func newPositions(n int) positions { return make(positions, (n+63)/64) }
+
+func (p positions) put(i int) { p[i/64] |= 1 << (i % 64) }
+
+func (p positions) remove(i int) { p[i/64] &^= 1 << (i % 64) }
+
+// next is the first of them from a place on; -1: there is none.
+func (p positions) next(from int) int {
+	if from>>6 >= len(p) {
+		return -1
+	}
+	word := p[from>>6] >> (from % 64) << (from % 64)
+	for w := from >> 6; ; word = p[w] {
+		if word != 0 {
+			return w<<6 + bits.TrailingZeros64(word)
+		}
+		if w++; w == len(p) {
+			return -1
+		}
+	}
+}
+
+// placingOrder is the order in which jobs are placed, worked out for all jobs now and then. In
+// between it is kept which of them have tasks to start, so that a placing passes over the others
+// without a look at each.
+type placingOrder struct {
+	turns  []turn
+	awake  positions               // of jobs that may have tasks to start
+	groups map[turnGroup]positions // of turns that are hopeless once an earlier one of them is
+	mine   map[*Job][]int          // where a job's turns are
+}
+
+// turnGroup are turns that follow each other in the order of placing as they do in that of their
+// jobs, and share their likeness.
+type turnGroup struct {
+	twins int
+	ready bool
+}
+
+// newPlacingOrder orders the jobs for placing. Where its image has to be fetched first, a
+// job's turn comes later by as long as the fetch takes: the place would stand idle
+// for that time, while a job that came that much later can use it at once. Images
+// can take as long as the tasks, and each machine fetches each for itself.
+func newPlacingOrder(jobs []*Job, fetchTime func(*Job) time.Duration) *placingOrder {
+	o := &placingOrder{groups: map[turnGroup]positions{}, mine: make(map[*Job][]int, len(jobs))}
+	for _, j := range jobs {
+		fetch := 2 * fetchTime(j)
+		if fetch > 0 && j.Shape != ledger.ShapeGroup {
+			o.turns = append(o.turns, turn{j, j.turn, true})
+		}
+		o.turns = append(o.turns, turn{j, j.turn.Add(fetch), false})
+	}
+	sort.SliceStable(o.turns, func(a, b int) bool {
+		x, y := o.turns[a], o.turns[b]
+		if d := precedence(x.j, y.j); d != 0 {
+			return d < 0
+		}
+		return x.at.Before(y.at)
+	})
+	o.awake = newPositions(len(o.turns))
+	for i, t := range o.turns {
+		o.awake.put(i)
+		o.mine[t.j] = append(o.mine[t.j], i)
+		if t.j.alike == 0 {
+			continue
+		}
+		group := turnGroup{t.j.twins, t.ready}
+		if o.groups[group] == nil {
+			o.groups[group] = newPositions(len(o.turns))
+		}
+		o.groups[group].put(i)
+	}
+	return o
+}
+
+// wake notes that a job may have tasks to start again.
+func (o *placingOrder) wake(j *Job) {
+	for _, i := range o.mine[j] {
+		o.awake.put(i)
+	}
+}
+
+// placingTurns goes through the turns of one placing.
+type placingTurns struct {
+	order *placingOrder
+	left  positions
+	kept  positions // never passed over as being like others
+	at    int
+}
+
+// begin starts to go through the turns of jobs that may have tasks to start. Those of some jobs are
+// looked at each for itself.
+func (o *placingOrder) begin(each []*Job) *placingTurns {
+	p := &placingTurns{order: o, left: slices.Clone(o.awake), kept: newPositions(len(o.turns)), at: -1}
+	for _, j := range each {
+		p.keep(j)
+	}
+	return p
+}
+
+// next is the next turn; false: there is none.
+func (p *placingTurns) next() (turn, bool) {
+	if p.at = p.left.next(p.at + 1); p.at < 0 {
+		return turn{}, false
+	}
+	return p.order.turns[p.at], true
+}
+
+// sleep passes over the turn's job until it is woken.
+func (p *placingTurns) sleep() { p.order.awake.remove(p.at) }
+
+// skipAlike passes over all turns like the last one that are to come.
+func (p *placingTurns) skipAlike() {
+	t := p.order.turns[p.at]
+	for w, same := range p.order.groups[turnGroup{t.j.twins, t.ready}] {
+		p.left[w] &^= same &^ p.kept[w]
+	}
+}
+
+// keep has the turns of a job that are to come looked at each for itself from now on.
+func (p *placingTurns) keep(j *Job) {
+	for _, i := range p.order.mine[j] {
+		if p.kept.put(i); i > p.at {
+			p.left.put(i)
+		}
+	}
+}
--- a/internal/packing/space.go
+++ b/internal/packing/space.go
@@ -86,6 +86,8 @@
 	counts [lastKind][steps + 1]int
 	open   set
 	marked map[string]set
+
+	inQuestion [steps + 1]set // of the search under way
 }
 
 func (s *Space) movable(it *Item) bool {
@@ -234,50 +236,93 @@
 		}
 		return nil
 	}
+	return s.searchRanked(it, from, room, only, not, fits)
+}
+
+// searchRanked finds, among the bins of the given kinds by step, the one that has the marks the item
+// prefers, the weightiest first, then the fullest, then the first.
+func (s *Space) searchRanked(it *Item, from int, room [steps + 1]kinds, only, not set, fits func(*Bin) bool) *Bin {
+	// Which bins are in question does not depend on the marks: most searches end here, as none is.
+	var found [steps + 1]bool
+	any := false
+	for g := from; g <= steps; g++ {
+		if room[g] != 0 {
+			found[g] = s.gather(g, room[g], only, not)
+			any = any || found[g]
+		}
+	}
+	if !any {
+		return nil
+	}
 	n := len(it.Prefer)
+	preferred := make([]set, n)
+	for i, name := range it.Prefer {
+		preferred[i] = s.marked[name]
+	}
 	for tier := 1<<n - 1; tier >= 0; tier-- {
 		for g := from; g <= steps; g++ {
-			if room[g] == 0 {
+			if !found[g] {
 				continue
 			}
-			var found *Bin
-			for w := range s.open {
-				x := s.word(room[g], g, w) & s.open[w]
-				if only != nil {
-					x &= only[w]
-				}
-				if not != nil {
-					x &^= not[w]
-				}
-				for i, name := range it.Prefer {
-					if x == 0 {
-						break
-					}
-					m := s.marked[name]
-					switch wanted := tier>>(n-1-i)&1 == 1; {
-					case wanted && m == nil:
-						x = 0
-					case wanted:
-						x &= m[w]
-					case m != nil:
-						x &^= m[w]
-					}
-				}
-				for ; x != 0; x &= x - 1 {
-					b := s.Bins[w*64+bits.TrailingZeros64(x)]
-					if (found == nil || b.Gap() < found.Gap()) && fits(b) {
-						found = b
-					}
-				}
-			}
-			if found != nil {
-				return found
+			if b := s.fullest(s.inQuestion[g], preferred, tier, fits); b != nil {
+				return b
 			}
 		}
 	}
 	return nil
 }
 
+// gather notes which bins of a step are in question, and says whether any is.
+func (s *Space) gather(g int, is kinds, only, not set) bool {
+	if len(s.inQuestion[g]) != len(s.open) {
+		s.inQuestion[g] = make(set, len(s.open))
+	}
+	any := false
+	for w, open := range s.open {
+		x := uint64(0)
+		if open != 0 {
+			x = s.word(is, g, w) & open
+		}
+		if only != nil {
+			x &= only[w]
+		}
+		if not != nil {
+			x &^= not[w]
+		}
+		s.inQuestion[g][w] = x
+		any = any || x != 0
+	}
+	return any
+}
+
+// fullest finds the fullest bin of a set that fits and has just the preferred marks of a tier: its
+// bits are the marks, the weightiest the highest.
+func (s *Space) fullest(among set, preferred []set, tier int, fits func(*Bin) bool) *Bin {
+	var found *Bin
+	for w, x := range among {
+		for i, m := range preferred {
+			if x == 0 {
+				break
+			}
+			switch wanted := tier>>(len(preferred)-1-i)&1 == 1; {
+			case wanted && m == nil:
+				x = 0
+			case wanted:
+				x &= m[w]
+			case m != nil:
+				x &^= m[w]
+			}
+		}
+		for ; x != 0; x &= x - 1 {
+			b := s.Bins[w*64+bits.TrailingZeros64(x)]
+			if (found == nil || b.Gap() < found.Gap()) && fits(b) {
+				found = b
+			}
+		}
+	}
+	return found
+}
+
 // word is a word of the union of the sets of some kinds at a step.
 func (s *Space) word(is kinds, g, w int) uint64 {
 	var x uint64
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -47,8 +47,35 @@
 	shared counts
 }
 
-// counts are charges by phase and size.
-type counts [phases]map[Amount]int
+// counts are charges by phase.
+type counts [phases]bySize
+
+// bySize counts charges by size, and knows their sum unless they changed since it was last asked.
+type bySize struct {
+	counts  map[Amount]int
+	sum     Amount
+	changed bool
+}
+
+func (b *bySize) add(size Amount, n int) {
+	if b.counts == nil {
+		b.counts = map[Amount]int{}
+	}
+	if b.counts[size] += n; b.counts[size] == 0 {
+		delete(b.counts, size)
+	}
+	b.changed = true
+}
+
+func (b *bySize) total() Amount {
+	if b.changed {
+		b.sum, b.changed = Amount{}, false
+		for size, n := range b.counts {
+			b.sum = b.sum.plus(n, size)
+		}
+	}
+	return b.sum
+}
 
 // NewAccount returns an account without charges.
 func NewAccount() *Account { return &Account{teams: map[string]*counts{}} }
@@ -73,14 +100,7 @@
 			a.teams[c.Team] = of
 		}
 	}
-	bySize := of[c.Phase]
-	if bySize == nil {
-		bySize = map[Amount]int{}
-		of[c.Phase] = bySize
-	}
-	if bySize[c.Size] += n; bySize[c.Size] == 0 {
-		delete(bySize, c.Size)
-	}
+	of[c.Phase].add(c.Size, n)
 }
 
 // sum adds the charges of some phases to an amount.
@@ -89,9 +109,7 @@
 		return to
 	}
 	for _, phase := range of {
-		for size, n := range c[phase] {
-			to = to.plus(n, size)
-		}
+		to = to.Add(c[phase].total())
 	}
 	return to
 }
@@ -122,8 +140,8 @@
 }
 
 func (c *counts) empty() bool {
-	for _, bySize := range c {
-		if len(bySize) > 0 {
+	for i := range c {
+		if len(c[i].counts) > 0 {
 			return false
 		}
 	}
