A search for a bin looks only at words of the index that are not empty

On a full fleet nearly every search ends with no bin, after a look at each of 119 words for each kind and step at 7,584 machines. Each set of the index knows by a summary which of its words are not empty; a search gathers just these.

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -131,7 +131,7 @@
 		return
 	}
 	for i := len(j.claims) - 1; i >= 0; i-- {
-		if m := j.claims[i].m; m.Dropped() || !c.open(m, now) {
+		if m := j.claims[i].m; m.Dropped() || !m.Bin.Open() {
 			c.disown(j, i)
 		}
 	}
--- a/internal/packing/space.go
+++ b/internal/packing/space.go
@@ -64,6 +64,25 @@
 	}
 }
 
+// sparse is a set that is mostly empty: its summary tells which words are not.
+type sparse struct {
+	words   set
+	summary set
+}
+
+func newSparse(words int) *sparse { return &sparse{make(set, words), make(set, words/64+1)} }
+
+func (s *sparse) put(i int, on bool) {
+	s.words.put(i, on)
+	s.summary.put(i/64, s.words[i/64] != 0)
+}
+
+// word is a part of a set that is not empty.
+type word struct {
+	at   int
+	bits uint64
+}
+
 // Space is the bins that are packed together: machines of one type. They are
 // indexed by kind and gap, so that an item is placed, or found to have no room,
 // without a look at every bin. The answers are those of a search over all bins in
@@ -82,12 +101,12 @@
 	// Suits says whether a move of an item into a bin is worth what it costs; nil: yes.
 	Suits func(it *Item, to *Bin) bool
 
-	sets   [lastKind][steps + 1]set
+	sets   [lastKind][steps + 1]*sparse
 	counts [lastKind][steps + 1]int
 	open   set
 	marked map[string]set
 
-	inQuestion [steps + 1]set // of the search under way
+	inQuestion [steps + 1][]word // of the search under way
 }
 
 func (s *Space) movable(it *Item) bool {
@@ -150,9 +169,9 @@
 func (s *Space) file(b *Bin, on bool) {
 	at := &s.sets[b.at.kind][b.at.step]
 	if *at == nil {
-		*at = make(set, len(s.open))
+		*at = newSparse(len(s.open))
 	}
-	at.put(b.pos, on)
+	(*at).put(b.pos, on)
 	if on {
 		s.counts[b.at.kind][b.at.step]++
 	} else {
@@ -274,32 +293,32 @@
 
 // gather notes which bins of a step are in question, and says whether any is.
 func (s *Space) gather(g int, is kinds, only, not set) bool {
-	if len(s.inQuestion[g]) != len(s.open) {
-		s.inQuestion[g] = make(set, len(s.open))
-	}
-	any := false
-	for w, open := range s.open {
-		x := uint64(0)
-		if open != 0 {
-			x = s.word(is, g, w) & open
-		}
-		if only != nil {
-			x &= only[w]
-		}
-		if not != nil {
-			x &^= not[w]
+	found := s.inQuestion[g][:0]
+	for part := range len(s.open)/64 + 1 {
+		for some := s.someWords(is, g, part); some != 0; some &= some - 1 {
+			w := part*64 + bits.TrailingZeros64(some)
+			x := s.word(is, g, w) & s.open[w]
+			if only != nil {
+				x &= only[w]
+			}
+			if not != nil {
+				x &^= not[w]
+			}
+			if x != 0 {
+				found = append(found, word{w, x})
+			}
 		}
-		s.inQuestion[g][w] = x
-		any = any || x != 0
 	}
-	return any
+	s.inQuestion[g] = found
+	return len(found) > 0
 }
 
 // fullest finds the fullest bin of a set that fits and has just the preferred marks of a tier: its
 // bits are the marks, the weightiest the highest.
-func (s *Space) fullest(among set, preferred []set, tier int, fits func(*Bin) bool) *Bin {
+func (s *Space) fullest(among []word, preferred []set, tier int, fits func(*Bin) bool) *Bin {
 	var found *Bin
-	for w, x := range among {
+	for _, part := range among {
+		w, x := part.at, part.bits
 		for i, m := range preferred {
 			if x == 0 {
 				break
@@ -327,7 +346,16 @@
 func (s *Space) word(is kinds, g, w int) uint64 {
 	var x uint64
 	for ; is != 0; is &= is - 1 {
-		x |= s.sets[bits.TrailingZeros8(uint8(is))][g][w]
+		x |= s.sets[bits.TrailingZeros8(uint8(is))][g].words[w]
+	}
+	return x
+}
+
+// someWords is a word of the union of their summaries: which words of that union are not empty.
+func (s *Space) someWords(is kinds, g, part int) uint64 {
+	var x uint64
+	for ; is != 0; is &= is - 1 {
+		x |= s.sets[bits.TrailingZeros8(uint8(is))][g].summary[part]
 	}
 	return x
 }
@@ -342,7 +370,7 @@
 			}
 			for g := range s.sets[k] {
 				if s.counts[k][g] > 0 {
-					x |= s.sets[k][g][w]
+					x |= s.sets[k][g].words[w]
 				}
 			}
 		}
