--- /dev/null
+++ b/cmd/drumpick-scale/main.go
@@ -0,0 +1,181 @@
+// Command drumpick-scale runs deployments of a planned size on one machine, with workers whose
+// tasks are timers beside real processes, measures what each role costs, and works out what that comes to
+// at other sizes. It is for those who plan and test; nothing of it is in the daemon.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"drumpick/internal/scale"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	exitOK          = 0
+	exitFailed      = 1 // a rule was broken, or the run failed
+	exitUsage       = 2 // the command line is wrong; nothing was started
+	exitInterrupted = 130
+)
+
+// errBroken says that a rule of the protocol was broken.
+var errBroken = errors.New("a rule of the protocol was broken")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(execute(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// execute runs one command line and returns the exit code.
+func execute(ctx context.Context, args []string, out, errs io.Writer) int {
+	root := newCommand()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.ExecuteContext(ctx)
+	var usage *scale.UsageError
+	switch {
+	case err == nil:
+		return exitOK
+	case ctx.Err() != nil:
+		fmt.Fprintln(errs, "drumpick-scale: interrupted")
+		return exitInterrupted
+	case errors.As(err, &usage):
+		fmt.Fprintln(errs, "drumpick-scale:", err)
+		return exitUsage
+	}
+	fmt.Fprintln(errs, "drumpick-scale:", err)
+	return exitFailed
+}
+
+func newCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use: "drumpick-scale", Short: "Measure a deployment of a planned size on one machine",
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &scale.UsageError{Reason: err.Error()} })
+	root.AddCommand(runCommand(), fitCommand(), serveCommand())
+	return root
+}
+
+func runCommand() *cobra.Command {
+	size := scale.Size{
+		Workers: 100, Tasks: 1000, Rate: 32, Controllers: 3, Zones: 2, Regions: 1, RealWorkers: 2, For: 60 * time.Second,
+		StoreRPS: 1000, StoreWrites: 200,
+	}
+	var programs scale.Programs
+	var file string
+	var paired bool
+	cmd := &cobra.Command{
+		Use: "run", Short: "Run a deployment, measure it, and check the rules", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := prepare(&programs); err != nil {
+				return err
+			}
+			if err := size.Check(); err != nil {
+				return err
+			}
+			play := scale.Run
+			if paired {
+				play = scale.RunPaired
+			}
+			result, err := play(cmd.Context(), size, programs, cmd.ErrOrStderr())
+			if err != nil {
+				return err
+			}
+			return report(result, file, cmd.OutOrStdout())
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&size.Workers, "workers", size.Workers, "`machines` in all")
+	f.IntVar(&size.RealWorkers, "real-workers", size.RealWorkers, "of these, `machines` with a process of their own")
+	f.IntVar(&size.Tasks, "tasks", size.Tasks, "`tasks` that are to run at the same time")
+	f.Float64Var(&size.Rate, "rate", size.Rate, "task `starts` a second at the peak")
+	f.IntVar(&size.Controllers, "controllers", size.Controllers, "`controllers` of each region")
+	f.IntVar(&size.Teams, "teams", size.Teams, "`teams`, each with a guarantee and a limit; 0: one team without")
+	f.IntVar(&size.Zones, "zones", size.Zones, "`zones` in all")
+	f.IntVar(&size.Regions, "regions", size.Regions, "`regions`, each with a state service, a cloud and a leader of its own")
+	f.DurationVar(&size.For, "for", size.For, "`how long` it is measured once the load has risen")
+	f.Float64Var(&size.StoreRPS, "store-rps", size.StoreRPS, "`requests` a second that each state service takes")
+	f.Float64Var(&size.StoreWrites, "store-writes", size.StoreWrites, "`changes` a second that each state service takes")
+	f.Float64Var(&size.Faults.Compress, "compress", 0, "`seconds` of the planned day, with its failures and restarts of machines, in one second; 0: none")
+	f.BoolVar(&size.Faults.Rack, "rack", false, "a rack's workers fail at once")
+	f.BoolVar(&size.Faults.Zone, "zone", false, "a zone's workers fail at once")
+	f.BoolVar(&size.Faults.Leader, "leader", false, "a leader is killed")
+	f.BoolVar(&paired, "paired", false, "play it without teams before")
+	f.StringVar(&file, "out", "", "`file` for the result as JSON")
+	f.StringVar(&programs.Daemon, "daemon", "target/drumpick", "the controllers' `program`, built as deploy/service.toml says")
+	f.StringVar(&programs.Options, "options", "deploy/drumpick.ini", "the controllers' operators' settings `file`")
+	return cmd
+}
+
+// prepare checks the programs and files that a run needs.
+func prepare(p *scale.Programs) (err error) {
+	if p.Self, err = os.Executable(); err != nil {
+		return err
+	}
+	if _, err := os.Stat(p.Daemon); err != nil {
+		return &scale.UsageError{Flag: "daemon", Reason: fmt.Sprintf("there is no program %s; build it with go build -o %s ./cmd/drumpick", p.Daemon, p.Daemon)}
+	}
+	if _, err := os.Stat(p.Options); err != nil {
+		return &scale.UsageError{Flag: "options", Reason: fmt.Sprintf("there is no file %s", p.Options)}
+	}
+	return nil
+}
+
+// report writes a result, and fails if a rule was broken.
+func report(r *scale.Result, file string, out io.Writer) error {
+	if err := r.Print(out); err != nil {
+		return err
+	}
+	if file != "" {
+		if err := r.Write(file); err != nil {
+			return err
+		}
+	}
+	if len(r.Breaches) > 0 {
+		return fmt.Errorf("%w: %s: %s (%d in all)", errBroken, r.Breaches[0].Rule, r.Breaches[0].What, len(r.Breaches))
+	}
+	return nil
+}
+
+func fitCommand() *cobra.Command {
+	var by string
+	cmd := &cobra.Command{
+		Use: "fit FILE...", Short: "Fit costs to sizes, over the results of at least four runs",
+		RunE: func(cmd *cobra.Command, files []string) error {
+			fits, err := scale.Fit(files, by)
+			if err != nil {
+				return err
+			}
+			return fits.Print(cmd.OutOrStdout())
+		},
+	}
+	cmd.Flags().StringVar(&by, "by", scale.ByWorkers, "what the sizes differ by: `workers`, rate or teams")
+	return cmd
+}
+
+// serveCommand is what a run starts as processes of its own.
+func serveCommand() *cobra.Command {
+	var data string
+	cmd := &cobra.Command{
+		Use: "serve ROLE", Short: "Play one role of a run", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			slog.SetDefault(slog.New(slog.NewTextHandler(cmd.ErrOrStderr(), nil)))
+			return scale.ServeChild(args[0], data, cmd.OutOrStdout())
+		},
+	}
+	cmd.Flags().StringVar(&data, "data", "", "`directory` of records")
+	return cmd
+}
--- a/cmd/drumpick/deps_test.go
+++ b/cmd/drumpick/deps_test.go
@@ -10,9 +10,9 @@
 // start, memory and processor share are counted.
 func TestLean(t *testing.T) {
 	without(t, ".", []string{
-		"drumpick/client", "drumpick/internal/region", "drumpick/internal/standin", "drumpick/internal/jobfile", "drumpick/internal/history",
+		"drumpick/client", "drumpick/internal/region", "drumpick/internal/standin", "drumpick/internal/jobfile", "drumpick/internal/history", "drumpick/internal/scale",
 		"go.etcd.io/bbolt", "github.com/santhosh-tekuri/jsonschema", "gopkg.in/yaml", "golang.org/x/term", "golang.org/x/text",
-		"pgregory.net/rapid", "github.com/anishathalye/porcupine",
+		"pgregory.net/rapid", "github.com/anishathalye/porcupine", "github.com/HdrHistogram/hdrhistogram-go", "github.com/shirou/gopsutil", "gonum.org/v1/gonum",
 	})
 }
 
--- a/internal/region/process.go
+++ b/internal/region/process.go
@@ -26,7 +26,8 @@
 	return work
 })
 
-func start(cmd *exec.Cmd) error {
+// Start starts a process that is killed when this one ends, however it ends.
+func Start(cmd *exec.Cmd) error {
 	// A group of its own: a Ctrl-C at the terminal is for the region to act on.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	failed := make(chan error)
@@ -70,7 +71,7 @@
 		p.mu.Unlock()
 		cmd.Env, cmd.Stdout, cmd.Stderr = append(os.Environ(), p.env...), out, out
 		began := time.Now()
-		if err := start(cmd); err != nil {
+		if err := Start(cmd); err != nil {
 			out.Close()
 			p.fail(err)
 			return
@@ -125,6 +126,16 @@
 	return p.early
 }
 
+// pid is the process that runs now; 0: none does.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // kill ends the process as a crash would.
 func (p *process) kill() {
 	p.mu.Lock()
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -37,6 +37,22 @@
 	LogLevel    string // of the controllers
 	// RunFor, where set, says how long tasks run; otherwise near their estimate.
 	RunFor func(task string) time.Duration
+	// Facts, where set, replace the figures that the region runs by.
+	Facts *config.Facts
+	// Types, where set, are the machines to be had.
+	Types []ledger.MachineType
+	// State, where set, is the address of a state service that runs already.
+	State string
+	// Workers, where set, opens a machine's address, and has its worker run elsewhere.
+	Workers func(m *standin.Machine) (addr string, end func(), err error)
+}
+
+// facts are the figures that the region runs by.
+func (o Options) facts() config.Facts {
+	if o.Facts != nil {
+		return *o.Facts
+	}
+	return facts(o.Zones, o.Controllers)
 }
 
 // Region is a deployment that runs.
@@ -128,11 +144,10 @@
 			err = errors.Join(err, r.Down())
 		}
 	}()
-	if r.disk, err = openDisk(filepath.Join(o.Data, "state.db"), r.State); err != nil {
-		return nil, err
-	}
-	if r.Info.State, err = r.serve(func(app *fiber.App) { standin.ServeState(run, app, r.State, r.disk.durable) }); err != nil {
-		return nil, err
+	if r.Info.State = o.State; o.State == "" {
+		if err = r.openState(run); err != nil {
+			return nil, err
+		}
 	}
 	r.build()
 	if r.Info.Cloud, err = r.serve(func(app *fiber.App) { standin.ServeCloud(app, r.World) }); err != nil {
@@ -147,7 +162,9 @@
 	if err = r.launch(); err != nil {
 		return nil, err
 	}
-	go r.judge()
+	if o.State == "" {
+		go r.judge()
+	}
 	if err = r.ready(ctx); err != nil {
 		return nil, err
 	}
@@ -159,16 +176,49 @@
 	return r, err
 }
 
+// ServeState serves a state service kept in a file, at an address of its own, until ctx ends. count,
+// where it is set, is told of each request.
+func ServeState(ctx context.Context, path string, count fiber.Handler) (addr string, err error) {
+	state := standin.NewState()
+	d, err := openDisk(path, state)
+	if err != nil {
+		return "", err
+	}
+	r := &Region{}
+	if addr, err = r.serve(func(app *fiber.App) {
+		if count != nil {
+			app.Use(count)
+		}
+		standin.ServeState(ctx, app, state, d.durable)
+	}); err != nil {
+		return "", errors.Join(err, d.close())
+	}
+	context.AfterFunc(ctx, func() { _ = d.close() })
+	return addr, nil
+}
+
+// openState serves the state service, kept in a file.
+func (r *Region) openState(ctx context.Context) (err error) {
+	if r.disk, err = openDisk(filepath.Join(r.options.Data, "state.db"), r.State); err != nil {
+		return err
+	}
+	r.Info.State, err = r.serve(func(app *fiber.App) { standin.ServeState(ctx, app, r.State, r.disk.durable) })
+	return err
+}
+
 // build sets the world up: its machines, what they are told, and what they run.
 func (r *Region) build() {
 	w, o := r.World, r.options
-	w.Every, w.Lease, w.Startup, w.Cancel = config.Seconds(reportS), config.Seconds(leaseS), config.Seconds(startupS), config.Seconds(cancelS)
-	f := facts(o.Zones, o.Controllers)
+	f := o.facts()
+	w.Every, w.Lease, w.Startup, w.Cancel = config.Seconds(f.Workers.ReportS), config.Seconds(f.Workers.LeaseS), config.Seconds(startupS), config.Seconds(f.Workers.CancelS)
 	w.GangWait, w.GangPeer = config.Seconds(f.Workers.GangWaitS), config.Seconds(f.Workers.GangPeerS)
 	w.Capacity, w.Version = o.Machines, "1.0"
 	w.Types = []ledger.MachineType{{
 		Name: "c4", CPUs: 4, MemGB: 16, CacheGB: 50, FetchGBps: 1, Price: 0.2, SpotPrice: 0.05, StartupS: startupS, Zones: o.Zones,
 	}}
+	if o.Types != nil {
+		w.Types = o.Types
+	}
 	w.Jobs = r.job
 	w.RunFor = o.RunFor
 	if w.RunFor == nil {
@@ -180,6 +230,10 @@
 			return config.Seconds(j.EstimateS * (0.7 + 0.6*float64(h.Sum32()%1000)/1000))
 		}
 	}
+	if w.Open = o.Workers; w.Open != nil {
+		w.Remote = true
+		return
+	}
 	w.Open = func(m *standin.Machine) (string, func(), error) {
 		app := newApp()
 		standin.ServeWorker(app, m)
@@ -254,7 +308,7 @@
 		c := &r.Info.Controllers[i]
 		cfg := &config.Config{
 			Node: c.Name, Zone: c.Zone, Bind: c.Bind, Back: c.Back,
-			External: config.External{Cloud: r.Info.Cloud, State: r.Info.State}, Facts: facts(o.Zones, o.Controllers),
+			External: config.External{Cloud: r.Info.Cloud, State: r.Info.State}, Facts: o.facts(),
 		}
 		for _, other := range r.Info.Controllers {
 			if other.Name != c.Name {
@@ -287,12 +341,12 @@
 		links = append(links, link.New(c.Bind, 1000, time.Second/2))
 		p := &process{
 			Name: c.Name, args: r.arguments(c, o.Daemon, o.Arguments), env: []string{"LOG_LEVEL=" + o.LogLevel}, log: c.Log,
-			again: config.Seconds(reportS), ended: make(chan struct{}), quit: make(chan struct{}),
+			again: config.Seconds(o.facts().Workers.ReportS), ended: make(chan struct{}), quit: make(chan struct{}),
 		}
 		r.controllers = append(r.controllers, p)
 		go p.run()
 	}
-	r.World.Report = standin.Reporter(func(node int, body []byte) (int, []byte, error) {
+	r.World.Report = standin.Reporter(func(_ string, node int, body []byte) (int, []byte, error) {
 		// Workers give an answer four seconds (PROTOCOL), in the region's proportions less.
 		return links[node].Do("POST", "/checkin", "application/json", body, time.Now().Add(config.Seconds(2*reportS)))
 	})
@@ -382,6 +436,14 @@
 	return r.controllers[i]
 }
 
+// PID is the process of a controller; 0: it does not run now.
+func (r *Region) PID(controller string) int {
+	if p := r.process(controller); p != nil {
+		return p.pid()
+	}
+	return 0
+}
+
 // Kill ends a controller, which starts again after a moment, or a machine, for good.
 func (r *Region) Kill(name string) error {
 	if p := r.process(name); p != nil {
--- /dev/null
+++ b/internal/scale/check.go
@@ -0,0 +1,190 @@
+package scale
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"drumpick/client"
+	"drumpick/internal/fleet"
+	"drumpick/internal/standin"
+)
+
+// UserJob is what the users know of a job.
+type UserJob struct {
+	client.Job
+	Region    int
+	Submitted time.Time // when it was first sent
+	Accepted  time.Time // when its acceptance was told; zero: it never was
+	Withdrawn bool      // somebody asked to cancel it
+	Cancelled time.Time // when its cancellation was told; zero: it was not
+	Finals    []Final   // at the end, by each controller
+}
+
+// Final is what a controller says of a job at the end.
+type Final struct {
+	Controller string
+	Status     string // client.Done, client.Cancelled, or what it says instead
+}
+
+// Breach is a rule of the protocol that was broken, by its name there.
+type Breach struct {
+	Rule string `json:"rule"`
+	What string `json:"what"`
+}
+
+// inFlight is for how long a start may be on its way to a worker (PROTOCOL): one that arrives
+// later after a cancellation was confirmed was sent after it.
+const inFlight = 4 * time.Second
+
+// amountSlack forgives the rounding of decimal amounts.
+const amountSlack = 1e-9
+
+// Limits are the CPUs that teams may use, by team; absent: no limit.
+type Limits map[string]float64
+
+// History is what a run looked like from outside.
+type History struct {
+	Ran    []standin.Ran // by all workers
+	Jobs   map[string]*UserJob
+	Limits []Limits      // by region
+	Cancel time.Duration // within which a cancelled job's tasks have to be gone
+}
+
+// Check lists the rules that were broken.
+func (h *History) Check() []Breach {
+	var all []Breach
+	all = append(all, h.checkPlaces()...)
+	all = append(all, h.checkCancelled()...)
+	all = append(all, h.checkQuotas()...)
+	all = append(all, h.checkAnswers()...)
+	if len(h.Ran) == 0 {
+		all = append(all, Breach{"nothing_ran", "no task was started"})
+	}
+	return all
+}
+
+func jobOf(task string) string {
+	id, _ := fleet.ParseTask(task)
+	return id.Job
+}
+
+// checkPlaces looks for tasks that started on one machine while they were on another.
+func (h *History) checkPlaces() []Breach {
+	ran := slices.Clone(h.Ran)
+	slices.SortFunc(ran, func(a, b standin.Ran) int { return cmp.Or(cmp.Compare(a.Task, b.Task), a.From.Compare(b.From)) })
+	var all []Breach
+	var last standin.Ran // of the task, the one that ends last so far
+	for i, r := range ran {
+		if i > 0 && last.Task == r.Task {
+			if r.From.Before(last.To) && r.Machine != last.Machine {
+				all = append(all, Breach{"ran_twice", fmt.Sprintf("%s started on %s at %v while it was on %s until %v", r.Task, r.Machine, r.From, last.Machine, last.To)})
+			}
+			if r.To.Before(last.To) {
+				continue
+			}
+		}
+		last = r
+	}
+	return all
+}
+
+// checkCancelled looks for tasks of cancelled jobs that started after the confirmation or stayed too long.
+func (h *History) checkCancelled() []Breach {
+	var all []Breach
+	for _, r := range h.Ran {
+		j := h.Jobs[jobOf(r.Task)]
+		if j == nil || j.Cancelled.IsZero() {
+			continue
+		}
+		if late := r.To.Sub(j.Cancelled); late > h.Cancel {
+			all = append(all, Breach{"ran_cancelled", fmt.Sprintf("%s was on %s for %v after its job was cancelled", r.Task, r.Machine, late)})
+		}
+		if late := r.From.Sub(j.Cancelled); late > inFlight {
+			all = append(all, Breach{"started_cancelled", fmt.Sprintf("%s started on %s %v after its cancellation was confirmed", r.Task, r.Machine, late)})
+		}
+	}
+	return all
+}
+
+// change is what a team's use changes by at a moment.
+type change struct {
+	at   time.Time
+	cpus float64
+}
+
+// checkQuotas adds up what the teams' tasks took at every moment.
+func (h *History) checkQuotas() []Breach {
+	type owner struct {
+		team   string
+		region int
+	}
+	changes := map[owner][]change{}
+	for _, r := range h.Ran {
+		j := h.Jobs[jobOf(r.Task)]
+		if j == nil || h.Limits[j.Region][j.Team] == 0 {
+			continue
+		}
+		who := owner{j.Team, j.Region}
+		changes[who] = append(changes[who], change{r.From, j.CPUs}, change{r.To, -j.CPUs})
+	}
+	var all []Breach
+	for who, list := range changes {
+		// What ends goes before what begins at the same moment.
+		slices.SortFunc(list, func(a, b change) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.cpus, b.cpus)) })
+		used, most := 0.0, 0.0
+		for _, c := range list {
+			used += c.cpus
+			most = max(most, used)
+		}
+		if limit := h.Limits[who.region][who.team]; most > limit+amountSlack {
+			all = append(all, Breach{"quota", fmt.Sprintf("%s used %g CPUs of %g in region %d", who.team, most, limit, who.region)})
+		}
+	}
+	slices.SortFunc(all, func(a, b Breach) int { return cmp.Compare(a.What, b.What) })
+	return all
+}
+
+// checkAnswers compares what the controllers say at the end of each accepted job with each other and with what
+// ran.
+func (h *History) checkAnswers() []Breach {
+	done := map[string]map[string]bool{}
+	for _, r := range h.Ran {
+		if r.Cause == fleet.CauseDone {
+			id := jobOf(r.Task)
+			if done[id] == nil {
+				done[id] = map[string]bool{}
+			}
+			done[id][r.Task] = true
+		}
+	}
+	var all []Breach
+	for _, id := range slices.Sorted(maps.Keys(h.Jobs)) {
+		j := h.Jobs[id]
+		if j.Accepted.IsZero() {
+			continue
+		}
+		all = append(all, j.checkFinals(len(done[id]))...)
+	}
+	return all
+}
+
+// checkFinals checks the final answers of a job of which so many tasks were seen to complete.
+func (j *UserJob) checkFinals(done int) []Breach {
+	var all []Breach
+	for _, f := range j.Finals {
+		switch {
+		case f.Status != client.Done && f.Status != client.Cancelled:
+			all = append(all, Breach{"forgotten", fmt.Sprintf("%s is %q at %s at the end", j.ID, f.Status, f.Controller)})
+		case f.Status != j.Finals[0].Status:
+			all = append(all, Breach{"went_back", fmt.Sprintf("%s is %s at %s and %s at %s", j.ID, j.Finals[0].Status, j.Finals[0].Controller, f.Status, f.Controller)})
+		case f.Status == client.Done && done < j.Tasks:
+			all = append(all, Breach{"not_done", fmt.Sprintf("%s is called done at %s with %d of %d tasks done", j.ID, f.Controller, done, j.Tasks)})
+		case f.Status == client.Cancelled && !j.Withdrawn:
+			all = append(all, Breach{"went_back", fmt.Sprintf("%s is called cancelled at %s, and nobody cancelled it", j.ID, f.Controller)})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/scale/check_test.go
@@ -0,0 +1,64 @@
+package scale
+
+import (
+	"testing"
+	"time"
+
+	"drumpick/client"
+	"drumpick/internal/standin"
+)
+
+// wholeHistory is one in which no rule is broken: two jobs of team a, one of them cancelled.
+func wholeHistory() *History {
+	start := time.Unix(1_000_000, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	job := func(id string, tasks int, cancelled time.Time, status string) *UserJob {
+		return &UserJob{
+			Job: client.Job{ID: id, Team: "a", Tasks: tasks, CPUs: 1}, Submitted: at(0), Accepted: at(0), Withdrawn: !cancelled.IsZero(), Cancelled: cancelled,
+			Finals: []Final{{"controller-1", status}, {"controller-2", status}},
+		}
+	}
+	return &History{
+		Ran: []standin.Ran{
+			{Task: "j-1/0", Machine: "m-1", From: at(1), Running: at(2), To: at(5), Cause: "lost"},
+			{Task: "j-1/0", Machine: "m-2", From: at(5), Running: at(6), To: at(9), Cause: "done"},
+			{Task: "j-1/1", Machine: "m-1", From: at(1), Running: at(2), To: at(8), Cause: "done"},
+			{Task: "j-2/0", Machine: "m-3", From: at(9), Running: at(9), To: at(12), Cause: "stopped"},
+		},
+		Jobs:   map[string]*UserJob{"j-1": job("j-1", 2, time.Time{}, client.Done), "j-2": job("j-2", 1, at(10), client.Cancelled)},
+		Limits: []Limits{{"a": 2}}, Cancel: 10 * time.Second,
+	}
+}
+
+// Each rule broken on purpose is seen, by its name, and nothing else is.
+func TestEachBreachIsSeen(t *testing.T) {
+	if got := wholeHistory().Check(); len(got) > 0 {
+		t.Fatalf("a history without a breach: %v", got)
+	}
+	for _, test := range []struct {
+		rule    string
+		breakIt func(h *History)
+	}{
+		{"ran_twice", func(h *History) { h.Ran[1].From = h.Ran[0].To.Add(-time.Millisecond); h.Limits = []Limits{nil} }},
+		{"ran_cancelled", func(h *History) { h.Ran[3].To = h.Ran[3].To.Add(9 * time.Second) }},
+		{"started_cancelled", func(h *History) { h.Ran[3].From = h.Ran[3].From.Add(6 * time.Second); h.Ran[3].To = h.Ran[3].From }},
+		{"quota", func(h *History) { h.Limits[0]["a"] = 1.5 }},
+		{"forgotten", func(h *History) { h.Jobs["j-1"].Finals[1].Status = "not found" }},
+		{"went_back", func(h *History) { h.Jobs["j-2"].Finals[0].Status = client.Done; h.Jobs["j-2"].Tasks = 0 }},
+		{"went_back", func(h *History) { h.Jobs["j-2"].Withdrawn = false }},
+		{"not_done", func(h *History) { h.Ran[2].Cause = "lost" }},
+		{"nothing_ran", func(h *History) { h.Ran = nil; clear(h.Jobs) }},
+	} {
+		h := wholeHistory()
+		test.breakIt(h)
+		got := h.Check()
+		if len(got) == 0 {
+			t.Errorf("%s is not seen", test.rule)
+		}
+		for _, b := range got {
+			if b.Rule != test.rule {
+				t.Errorf("%s broken on purpose, and seen is %v", test.rule, b)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/child.go
@@ -0,0 +1,141 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"drumpick/internal/link"
+	"drumpick/internal/region"
+
+	"github.com/gofiber/fiber/v2"
+)
+
+// What a process of a run is, as the arguments of this program.
+const (
+	RoleWorkers = "workers"
+	RoleState   = "state"
+)
+
+// hello is the line by which a child says where it is reached.
+type hello struct {
+	Addr    string `json:"addr"`    // of whoever runs it
+	Service string `json:"service"` // that it serves to controllers
+}
+
+// child is a process of this program.
+type child struct {
+	cmd  *exec.Cmd
+	link *link.Client
+	hello
+}
+
+// startTime bounds how long a child may take to say where it is reached.
+const startTime = 20 * time.Second
+
+// startChild starts this program in a role.
+func startChild(program, logFile string, arguments ...string) (*child, error) {
+	log, err := os.Create(logFile)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	c := &child{cmd: exec.Command(program, arguments...)}
+	c.cmd.Stderr = log
+	out, err := c.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := region.Start(c.cmd); err != nil {
+		return nil, err
+	}
+	said := make(chan error, 1)
+	go func() {
+		line, err := bufio.NewReader(out).ReadBytes('\n')
+		if err == nil {
+			err = json.Unmarshal(line, &c.hello)
+		}
+		said <- err
+		_, _ = io.Copy(io.Discard, out)
+	}()
+	select {
+	case err = <-said:
+	case <-time.After(startTime):
+		err = errors.New("it does not say where it is reached")
+	}
+	if err != nil {
+		c.stop()
+		return nil, fmt.Errorf("%s: %w (see %s)", strings.Join(arguments, " "), err, logFile)
+	}
+	c.link = link.New(c.Addr, 64, time.Second)
+	return c, nil
+}
+
+func (c *child) pid() int { return c.cmd.Process.Pid }
+
+// stop ends the process.
+func (c *child) stop() {
+	_ = c.cmd.Process.Kill()
+	_ = c.cmd.Wait()
+}
+
+// askTime bounds what is asked of a child.
+const askTime = 30 * time.Second
+
+// ask sends a request to the child and reads the answer into out, unless that is nil.
+func (c *child) ask(method, path string, in, out any) error {
+	status, raw, err := c.link.JSON(method, path, in, time.Now().Add(askTime))
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	if status != 200 {
+		return fmt.Errorf("%s %s: status %d: %s", method, path, status, raw)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(raw, out)
+}
+
+// ServeChild plays a role until it is told to stop, and says where it is reached.
+func ServeChild(role, data string, out io.Writer) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := newApp()
+	var said hello
+	switch role {
+	case RoleWorkers:
+		NewHollow(ctx).Mount(app)
+	case RoleState:
+		requests := newStateCounts()
+		addr, err := region.ServeState(ctx, filepath.Join(data, "state.db"), requests.count)
+		if err != nil {
+			return err
+		}
+		said.Service = addr
+		app.Get("/counts", func(c *fiber.Ctx) error { return c.JSON(requests.read()) })
+	default:
+		return &UsageError{"role", fmt.Sprintf("%q is neither %s nor %s", role, RoleWorkers, RoleState)}
+	}
+	ln, err := listen()
+	if err != nil {
+		return err
+	}
+	said.Addr = ln.Addr().String()
+	if err := json.NewEncoder(out).Encode(said); err != nil {
+		return err
+	}
+	go func() { _ = app.Listener(ln) }()
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/scale/fit.go
@@ -0,0 +1,158 @@
+package scale
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// What the sizes of runs may differ by.
+const (
+	ByWorkers = "workers"
+	ByRate    = "rate"
+	ByTeams   = "teams"
+)
+
+// fewest is how many sizes a fit needs: with fewer, a term that grows faster than its cause can't be told from
+// a slope.
+const fewest = 4
+
+// The planned size.
+var planned = map[string]float64{ByWorkers: plannedWorkers, ByRate: plannedRate, ByTeams: plannedTeams}
+
+const (
+	plannedRate  = 2500
+	plannedTeams = 48
+)
+
+// Line is a cost that is fitted by a fixed part and a slope.
+type Line struct {
+	Cost      string
+	Fixed     float64
+	Slope     float64
+	RSquared  float64
+	Residuals []float64 // by size
+	Measured  []float64 // by size
+	Planned   float64   // at the planned size
+}
+
+// Fits are the costs over sizes.
+type Fits struct {
+	By      string
+	Sizes   []float64
+	Lines   []Line
+	Planned float64 // size
+	Beyond  bool    // it is larger than what was run
+}
+
+// costs are what is fitted, by name.
+func (r *Result) costs() map[string]float64 {
+	all := map[string]float64{}
+	for role, u := range r.Usage {
+		all[role+", cores"], all[role+", MB"] = u.Cores, u.MemoryMB
+	}
+	for kind, t := range r.Traffic {
+		all[kind+", messages a second"] = float64(t.Messages) / r.Measured
+		all[kind+", KB a second"] = float64(t.Sent+t.Received) / r.Measured / 1000
+	}
+	all["starts a second"] = r.Starts.Mean
+	if r.Without != nil {
+		for cost, value := range r.Without.costs() {
+			all[cost+", no teams"] = value
+		}
+	}
+	return all
+}
+
+func (r *Result) sizeBy(by string) float64 {
+	switch by {
+	case ByRate:
+		return r.Size.Rate
+	case ByTeams:
+		return float64(r.Size.Teams)
+	}
+	return float64(r.Size.Workers)
+}
+
+// Fit fits a line to each cost over the results of runs whose sizes differ.
+func Fit(files []string, by string) (*Fits, error) {
+	if _, known := planned[by]; !known {
+		return nil, &UsageError{"by", fmt.Sprintf("%q is none of %s, %s, %s", by, ByWorkers, ByRate, ByTeams)}
+	}
+	var results []*Result
+	for _, file := range files {
+		r, err := ReadResult(file)
+		if err != nil {
+			return nil, &UsageError{Reason: err.Error()}
+		}
+		results = append(results, r)
+	}
+	slices.SortFunc(results, func(a, b *Result) int { return cmp.Compare(a.sizeBy(by), b.sizeBy(by)) })
+	f := &Fits{By: by, Planned: planned[by]}
+	distinct := map[float64]bool{}
+	for _, r := range results {
+		f.Sizes = append(f.Sizes, r.sizeBy(by))
+		distinct[r.sizeBy(by)] = true
+	}
+	if len(distinct) < fewest {
+		return nil, &UsageError{"by", fmt.Sprintf("%d files have %d sizes by %s, and a fit needs %d", len(files), len(distinct), by, fewest)}
+	}
+	f.Beyond = f.Planned > f.Sizes[len(f.Sizes)-1]
+	f.fitAll(results)
+	return f, nil
+}
+
+func (f *Fits) fitAll(results []*Result) {
+	costs := make([]map[string]float64, len(results))
+	for i, r := range results {
+		costs[i] = r.costs()
+	}
+	for _, cost := range slices.Sorted(maps.Keys(costs[0])) {
+		line := Line{Cost: cost}
+		for _, of := range costs {
+			line.Measured = append(line.Measured, of[cost])
+		}
+		line.fit(f.Sizes, f.Planned)
+		f.Lines = append(f.Lines, line)
+	}
+}
+
+// fit works out the line and how far each size is from it.
+func (l *Line) fit(sizes []float64, at float64) {
+	l.Fixed, l.Slope = stat.LinearRegression(sizes, l.Measured, nil, false)
+	if l.RSquared = stat.RSquared(sizes, l.Measured, nil, l.Fixed, l.Slope); math.IsNaN(l.RSquared) {
+		l.RSquared = 1 // all are alike
+	}
+	for i, size := range sizes {
+		l.Residuals = append(l.Residuals, l.Measured[i]-l.Fixed-l.Slope*size)
+	}
+	l.Planned = l.Fixed + l.Slope*at
+}
+
+// Print writes the fits as a table for people.
+func (f *Fits) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	beyond := ""
+	if f.Beyond {
+		beyond = ", beyond what was run"
+	}
+	fmt.Fprintf(w, "cost\tfixed\tfor 1000 %s\tR2\tmeasured at %v\tresiduals\tat %g%s\n", f.By, f.Sizes, f.Planned, beyond)
+	for _, l := range f.Lines {
+		fmt.Fprintf(w, "%s\t%.3g\t%.3g\t%.3f\t%s\t%s\t%.3g\n", l.Cost, l.Fixed, 1000*l.Slope, l.RSquared, figures(l.Measured), figures(l.Residuals), l.Planned)
+	}
+	return w.Flush()
+}
+
+func figures(values []float64) string {
+	text := ""
+	for _, v := range values {
+		text += fmt.Sprintf("%.3g ", v)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,306 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"drumpick/internal/config"
+	"drumpick/internal/ledger"
+	"drumpick/internal/link"
+	"drumpick/internal/rental"
+	"drumpick/internal/standin"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/valyala/fasthttp"
+)
+
+// Setup tells a process of workers what they need to know of their region.
+type Setup struct {
+	Nodes []Node               `json:"nodes"`
+	Types []ledger.MachineType `json:"types"`
+}
+
+// Node is a controller as workers reach it.
+type Node struct {
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+}
+
+// Placement is a machine that was rented and is to run in this process.
+type Placement struct {
+	Host string         `json:"host"`
+	Rent rental.Request `json:"rent"`
+}
+
+// Placed is where such a machine's worker takes direct commands.
+type Placed struct {
+	Addr string `json:"addr"`
+}
+
+// Traffic counts messages of one kind, and the bytes of their bodies there and back.
+type Traffic struct {
+	Messages uint64 `json:"messages"`
+	Sent     uint64 `json:"sent_bytes"`
+	Received uint64 `json:"received_bytes"`
+}
+
+// Minus is what came since an earlier count.
+func (t Traffic) Minus(before Traffic) Traffic {
+	return Traffic{t.Messages - before.Messages, t.Sent - before.Sent, t.Received - before.Received}
+}
+
+// Plus adds two counts.
+func (t Traffic) Plus(other Traffic) Traffic {
+	return Traffic{t.Messages + other.Messages, t.Sent + other.Sent, t.Received + other.Received}
+}
+
+// tally counts traffic of one kind as it comes.
+type tally struct{ messages, sent, received atomic.Uint64 }
+
+func (t *tally) add(sent, received int) {
+	t.messages.Add(1)
+	t.sent.Add(uint64(sent))
+	t.received.Add(uint64(received))
+}
+
+func (t *tally) read() Traffic {
+	return Traffic{t.messages.Load(), t.sent.Load(), t.received.Load()}
+}
+
+// WorkerCounts is what a process of workers counts.
+type WorkerCounts struct {
+	Machines int     `json:"machines"`
+	Running  int     `json:"running"`
+	Starts   int     `json:"starts"`
+	Lapses   int     `json:"lapses"` // leases that ended
+	Reports  Traffic `json:"reports"`
+	Refused  uint64  `json:"refused"` // reports not answered with 200
+	Orders   Traffic `json:"orders"`  // direct commands
+}
+
+// Hollow runs workers whose tasks are timers: machines of the stand-in world, each behind a socket of
+// its own and with a connection of its own to a controller.
+type Hollow struct {
+	world   *standin.World
+	ctx     context.Context
+	workers *fasthttp.Server
+
+	mu    sync.Mutex
+	jobs  map[string]ledger.Job
+	at    map[string]*standin.Machine // by the address where it takes commands
+	links map[string]*connection      // by machine
+	nodes []Node
+
+	reports, orders tally
+	refused         atomic.Uint64
+}
+
+// connection is a worker's connection to the controller where it reports.
+type connection struct {
+	node int
+	link *link.Client
+}
+
+// workerPatience is how long a worker waits for an answer (PROTOCOL).
+const workerPatience = 4 * time.Second
+
+// NewHollow returns a process of workers without any.
+func NewHollow(ctx context.Context) *Hollow {
+	h := &Hollow{
+		world: standin.NewWorld(ctx), ctx: ctx, jobs: map[string]ledger.Job{}, at: map[string]*standin.Machine{}, links: map[string]*connection{},
+	}
+	w := h.world
+	w.Every, w.Lease, w.Cancel = config.Seconds(reportS), config.Seconds(leaseS), config.Seconds(cancelS)
+	w.GangWait, w.GangPeer = config.Seconds(gangWaitS), config.Seconds(gangPeerS)
+	w.InFlight = inFlight
+	w.Jobs = h.job
+	w.RunFor = h.runFor
+	w.Open = h.open
+	w.Report = standin.Reporter(h.report)
+	w.FirstNode = h.firstNode
+	commands := newApp()
+	commands.Use(func(c *fiber.Ctx) error {
+		err := c.Next()
+		h.orders.add(len(c.Response().Body()), len(c.Body()))
+		return err
+	})
+	standin.ServeWorkers(commands, func(c *fiber.Ctx) *standin.Machine {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.at[c.Context().LocalAddr().String()]
+	})
+	h.workers = &fasthttp.Server{Handler: commands.Handler(), ReduceMemoryUsage: true, NoDefaultServerHeader: true}
+	return h
+}
+
+func newApp() *fiber.App {
+	return fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: 256 << 20})
+}
+
+func listen() (net.Listener, error) { return net.Listen("tcp4", "127.0.0.1:0") }
+
+// job is a job's description, as users uploaded it.
+func (h *Hollow) job(id string) (ledger.Job, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j, ok := h.jobs[id]
+	return j, ok
+}
+
+// runFor is how long a task runs: near its owner's estimate, by its name.
+func (h *Hollow) runFor(task string) time.Duration {
+	j, _ := h.job(jobOf(task))
+	sum := fnv.New32a()
+	sum.Write([]byte(task))
+	return config.Seconds(j.EstimateS * (0.7 + 0.6*float64(sum.Sum32()%1000)/1000))
+}
+
+// firstNode spreads the workers' first reports over the controllers.
+func (h *Hollow) firstNode(host string) int {
+	sum := fnv.New32a()
+	sum.Write([]byte(host))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return int(sum.Sum32()) % max(len(h.nodes), 1)
+}
+
+// open opens the address where a machine takes commands.
+func (h *Hollow) open(m *standin.Machine) (string, func(), error) {
+	ln, err := listen()
+	if err != nil {
+		return "", nil, err
+	}
+	addr := ln.Addr().String()
+	h.mu.Lock()
+	h.at[addr] = m
+	h.mu.Unlock()
+	go func() { _ = h.workers.Serve(ln) }()
+	return addr, func() {
+		ln.Close()
+		h.mu.Lock()
+		delete(h.at, addr)
+		old := h.links[m.Host]
+		delete(h.links, m.Host)
+		h.mu.Unlock()
+		if old != nil {
+			old.link.Close()
+		}
+	}, nil
+}
+
+// linkTo is a worker's connection to a controller; the one to another is closed.
+func (h *Hollow) linkTo(host string, node int) *link.Client {
+	h.mu.Lock()
+	was := h.links[host]
+	if was != nil && was.node == node {
+		h.mu.Unlock()
+		return was.link
+	}
+	now := &connection{node, link.New(h.nodes[node].Addr, 1, time.Second)}
+	h.links[host] = now
+	h.mu.Unlock()
+	if was != nil {
+		was.link.Close()
+	}
+	return now.link
+}
+
+// report sends a worker's report to a controller.
+func (h *Hollow) report(host string, node int, body []byte) (int, []byte, error) {
+	status, answer, err := h.linkTo(host, node).Do("POST", "/checkin", "application/json", body, time.Now().Add(workerPatience))
+	h.reports.add(len(body), len(answer))
+	if status != 200 {
+		h.refused.Add(1)
+	}
+	return status, answer, err
+}
+
+func (h *Hollow) setUp(s Setup) {
+	h.mu.Lock()
+	h.nodes = s.Nodes
+	h.mu.Unlock()
+	h.world.Types = s.Types
+	for _, n := range s.Nodes {
+		h.world.Nodes = append(h.world.Nodes, n.Name)
+	}
+}
+
+// place starts a rented machine and waits until it takes commands.
+func (h *Hollow) place(p Placement) (Placed, error) {
+	m := h.world.Host(p.Host, p.Rent)
+	for {
+		if addr := m.Addr(); addr != "" {
+			return Placed{addr}, nil
+		}
+		if err := link.Sleep(h.ctx, 5*time.Millisecond); err != nil {
+			return Placed{}, err
+		}
+	}
+}
+
+func (h *Hollow) counts() WorkerCounts {
+	return WorkerCounts{
+		Machines: len(h.world.Machines()), Running: h.world.Running(), Starts: h.world.Starts(), Lapses: h.world.Lapses(),
+		Reports: h.reports.read(), Refused: h.refused.Load(), Orders: h.orders.read(),
+	}
+}
+
+// Mount serves whoever runs the process.
+func (h *Hollow) Mount(app *fiber.App) {
+	app.Post("/setup", func(c *fiber.Ctx) error {
+		return taking(c, func(s Setup) (any, error) { h.setUp(s); return fiber.Map{}, nil })
+	})
+	app.Post("/jobs", func(c *fiber.Ctx) error {
+		return taking(c, func(jobs []ledger.Job) (any, error) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			for _, j := range jobs {
+				h.jobs[j.ID] = j
+			}
+			return fiber.Map{}, nil
+		})
+	})
+	app.Post("/machines", func(c *fiber.Ctx) error {
+		return taking(c, func(p Placement) (any, error) { return h.place(p) })
+	})
+	app.Post("/machines/end", h.with((*standin.Machine).Die))
+	app.Post("/machines/reboot", h.with((*standin.Machine).Reboot))
+	app.Get("/counts", func(c *fiber.Ctx) error { return c.JSON(h.counts()) })
+	app.Get("/history", func(c *fiber.Ctx) error {
+		ran, _ := h.world.History()
+		return c.JSON(ran)
+	})
+}
+
+// with serves what is done to a machine by name.
+func (h *Hollow) with(do func(*standin.Machine)) fiber.Handler {
+	return func(c *fiber.Ctx) error {
+		return taking(c, func(p Placement) (any, error) {
+			m := h.world.Machine(p.Host)
+			if m == nil {
+				return nil, fmt.Errorf("there is no machine %q here", p.Host)
+			}
+			do(m)
+			return fiber.Map{}, nil
+		})
+	}
+}
+
+// taking reads a request's body and answers with what is made of it.
+func taking[T any](c *fiber.Ctx, do func(T) (any, error)) error {
+	var in T
+	if err := json.Unmarshal(c.Body(), &in); err != nil {
+		return c.Status(400).SendString(err.Error())
+	}
+	out, err := do(in)
+	if err != nil {
+		return c.Status(409).SendString(err.Error())
+	}
+	return c.JSON(out)
+}
--- /dev/null
+++ b/internal/scale/load.go
@@ -0,0 +1,238 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"drumpick/client"
+	"drumpick/internal/link"
+)
+
+// Classes of the load, and what is expected of urgent work.
+const (
+	classUrgent = "urgent"
+	classBulk   = "bulk"
+	urgentS     = 2.8 // within which urgent work is to begin
+)
+
+// The shape of the load. What is not urgent comes in arrays; nothing saves its progress.
+const (
+	urgentShare   = 0.04 // of all starts
+	urgentTaskS   = 5.0
+	urgentJobs    = 1.0  // a second, over all regions
+	bulkJobs      = 2.0  // a second, over all regions
+	cancelShare   = 0.02 // of the bulk jobs
+	pollEvery     = 5 * time.Second
+	images        = 16
+	submitEvery   = 100 * time.Millisecond
+	mostRequests  = 64 // of users that are under way at once
+	drainPatience = 90 * time.Second
+)
+
+// users submit the load of a run, follow their jobs, and cancel some.
+type users struct {
+	size  Size
+	cells []*cell
+	rand  *rand.Rand
+
+	mu   sync.Mutex
+	jobs map[string]*UserJob
+	open map[string]bool // accepted, and not known to be over
+	seq  int
+	fail error
+	busy chan struct{} // bounds the requests under way
+
+	submissions, polls, cancels tally
+	unanswered                  int // submissions that nobody took in time
+}
+
+func newUsers(size Size, cells []*cell) *users {
+	return &users{
+		size: size, cells: cells, rand: rand.New(rand.NewPCG(uint64(size.Workers), uint64(size.Tasks))),
+		jobs: map[string]*UserJob{}, open: map[string]bool{}, busy: make(chan struct{}, mostRequests),
+	}
+}
+
+// stream is work of one class that comes at a steady rate.
+type stream struct {
+	class, priority string
+	jobs            float64 // a second
+	tasks           float64 // a second
+	runs            float64 // seconds that a task runs
+	owed            float64 // jobs that are due
+}
+
+func (s *Size) streams() []*stream {
+	return []*stream{
+		{class: classUrgent, priority: client.Urgent, jobs: urgentJobs, tasks: urgentShare * s.Rate, runs: urgentTaskS},
+		{class: classBulk, priority: client.Standard, jobs: bulkJobs, tasks: (1 - urgentShare) * s.Rate, runs: s.taskTime().Seconds()},
+	}
+}
+
+// rampTime is how long the load rises to its peak.
+const rampTime = 10 * time.Second
+
+// submitAll submits work until ctx ends.
+func (u *users) submitAll(ctx context.Context) {
+	began, streams := time.Now(), u.size.streams()
+	last := began
+	for link.Sleep(ctx, submitEvery) == nil {
+		now := time.Now()
+		ramp := min(now.Sub(began).Seconds()/rampTime.Seconds(), 1)
+		for _, s := range streams {
+			for s.owed += s.jobs * now.Sub(last).Seconds(); s.owed >= 1; s.owed-- {
+				if tasks := int(s.tasks/s.jobs*ramp + u.rand.Float64()); tasks > 0 {
+					u.submit(ctx, s, tasks)
+				}
+			}
+		}
+		last = now
+	}
+}
+
+// submit has a user submit one job.
+func (u *users) submit(ctx context.Context, s *stream, tasks int) {
+	u.mu.Lock()
+	u.seq++
+	n := u.seq
+	u.mu.Unlock()
+	region := n % len(u.cells)
+	j := &UserJob{Region: region, Submitted: time.Now(), Job: client.Job{
+		ID: fmt.Sprintf("j-%06d", n), Class: s.class, Team: teamName(n / len(u.cells) % max(u.size.Teams, 1)), Shape: client.Batch, Priority: s.priority,
+		Tasks: tasks, CPUs: 1, MemGB: taskMemGB, Image: fmt.Sprint("image-", u.rand.IntN(images)), ImageGB: imageGB, Spot: true, EstimateS: s.runs,
+	}}
+	cancelled := s.class == classBulk && u.rand.Float64() < cancelShare
+	u.mu.Lock()
+	u.jobs[j.ID] = j
+	u.mu.Unlock()
+	u.do(func() {
+		c := u.cells[region]
+		if err := c.upload(j.Job); err != nil {
+			u.failed(err)
+			return
+		}
+		st, _, err := c.users.Submit(ctx, j.Job)
+		u.submissions.add(submissionBytes, answerBytes)
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if err != nil {
+			if ctx.Err() == nil {
+				u.unanswered++
+			}
+			return
+		}
+		j.Accepted, u.open[j.ID] = time.Now(), !st.Over()
+		if cancelled {
+			time.AfterFunc(u.size.taskTime()/2, func() { u.cancel(j) })
+		}
+	})
+}
+
+// Bytes of the users' messages, as they are: their bodies differ by a few bytes.
+const (
+	submissionBytes = 330
+	answerBytes     = 60
+)
+
+// do runs a user's request once there is room for it.
+func (u *users) do(request func()) {
+	go func() {
+		u.busy <- struct{}{}
+		defer func() { <-u.busy }()
+		request()
+	}()
+}
+
+func (u *users) failed(err error) {
+	u.mu.Lock()
+	u.fail = errors.Join(u.fail, err)
+	u.mu.Unlock()
+}
+
+// cancel has a user call a job off.
+func (u *users) cancel(j *UserJob) {
+	u.mu.Lock()
+	j.Withdrawn = true
+	u.mu.Unlock()
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	st, err := u.cells[j.Region].users.Cancel(ctx, j.ID)
+	u.cancels.add(0, answerBytes)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if err == nil && st.Status == client.Cancelled {
+		j.Cancelled = time.Now()
+	}
+}
+
+// pollAll asks about every open job now and then until ctx ends.
+func (u *users) pollAll(ctx context.Context) {
+	for link.Sleep(ctx, pollEvery) == nil {
+		u.mu.Lock()
+		var ask []*UserJob
+		for id, open := range u.open {
+			if open {
+				ask = append(ask, u.jobs[id])
+			}
+		}
+		u.mu.Unlock()
+		var asked sync.WaitGroup
+		for _, j := range ask {
+			asked.Add(1)
+			u.do(func() {
+				defer asked.Done()
+				u.poll(ctx, j)
+			})
+		}
+		asked.Wait()
+	}
+}
+
+func (u *users) poll(ctx context.Context, j *UserJob) {
+	st, err := u.cells[j.Region].users.Get(ctx, j.ID)
+	u.polls.add(0, answerBytes)
+	if err != nil || !st.Over() {
+		return
+	}
+	u.mu.Lock()
+	delete(u.open, j.ID)
+	u.mu.Unlock()
+}
+
+// left is how many jobs are open.
+func (u *users) left() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.open)
+}
+
+// finish waits until every job is over, or for as long as that may take, and asks each controller for the final
+// state of each.
+func (u *users) finish(ctx context.Context) {
+	until := time.Now().Add(3*u.size.taskTime() + drainPatience)
+	for u.left() > 0 && time.Now().Before(until) && link.Sleep(ctx, time.Second) == nil {
+	}
+	u.mu.Lock()
+	all := make([]*UserJob, 0, len(u.jobs))
+	for _, j := range u.jobs {
+		all = append(all, j)
+	}
+	u.mu.Unlock()
+	var asked sync.WaitGroup
+	for _, j := range all {
+		if j.Accepted.IsZero() {
+			continue
+		}
+		asked.Add(1)
+		u.do(func() {
+			defer asked.Done()
+			c := u.cells[j.Region]
+			j.Finals = c.finals(ctx, j.ID)
+		})
+	}
+	asked.Wait()
+}
--- /dev/null
+++ b/internal/scale/size.go
@@ -0,0 +1,215 @@
+// Package scale runs deployments of a planned size on one machine: real controllers as
+// processes of their own, and workers that speak the whole protocol over sockets while their tasks
+// are timers. It measures what each role costs, and checks the rules of the protocol from outside, on
+// what the workers and users saw.
+package scale
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"drumpick/internal/config"
+	"drumpick/internal/ledger"
+)
+
+// Size says what to run. All counts are of the whole run, over all regions.
+type Size struct {
+	Workers     int           `json:"workers"`     // machines, the real ones included
+	RealWorkers int           `json:"real"`        // of these, those with a process of their own
+	Tasks       int           `json:"tasks"`       // that are to run at the same time
+	Rate        float64       `json:"rate"`        // starts a second at the peak
+	Controllers int           `json:"controllers"` // of each region
+	Teams       int           `json:"teams"`       // with a guarantee and a limit; 0: one team without
+	Zones       int           `json:"zones"`
+	Regions     int           `json:"regions"`
+	For         time.Duration `json:"for"` // how long it is measured once it runs
+	Faults      Faults        `json:"faults"`
+	StoreRPS    float64       `json:"store_rps"` // of each region's state service
+	StoreWrites float64       `json:"store_writes"`
+}
+
+// Faults says what goes wrong during a run.
+type Faults struct {
+	Compress float64 `json:"compress"` // seconds of the planned day that pass in one second; 0: no machine fails
+	Rack     bool    `json:"rack"`     // a rack's workers at once
+	Zone     bool    `json:"zone"`
+	Leader   bool    `json:"leader"` // a region's leader is killed
+}
+
+// The day planned for: what fails of its workers (docs/CAPACITY.md).
+const (
+	plannedWorkers  = 7600
+	plannedFailures = 120  // machines that fail on a day
+	plannedRestarts = 2500 // machines that are restarted or replaced on a day
+	rackWorkers     = 40   // of the planned size, those behind one switch
+)
+
+// Limits of one run on one machine.
+const (
+	// MostProcesses is how many processes a run may start.
+	MostProcesses = 40
+	// mostMemoryMB is how much they may hold together.
+	mostMemoryMB = 10 << 10
+	// workersPerProcess is how many hollow workers share a process.
+	workersPerProcess = 1900
+)
+
+// Memory that is reckoned for each role before a run begins, in MB: more than was measured
+// (docs/CAPACITY.md).
+const (
+	controllerMB    = 120.0
+	controllerEach  = 0.05 // for each worker of the region
+	hollowProcessMB = 80.0
+	hollowEachMB    = 0.25
+	realWorkerMB    = 40.0
+	stateMB         = 200.0
+)
+
+// UsageError is a command line that makes no sense, or a size that does not fit the machine. It names the
+// flag, unless the reason does.
+type UsageError struct {
+	Flag, Reason string
+}
+
+func (e *UsageError) Error() string {
+	if e.Flag == "" {
+		return e.Reason
+	}
+	return fmt.Sprintf("--%s: %s", e.Flag, e.Reason)
+}
+
+// Check names the first flag that is wrong, or says what this machine cannot do.
+func (s *Size) Check() error {
+	for _, field := range []struct {
+		flag        string
+		value, from int
+	}{
+		{"workers", s.Workers, 1}, {"tasks", s.Tasks, 1}, {"controllers", s.Controllers, 1}, {"teams", s.Teams, 0},
+		{"zones", s.Zones, 1}, {"regions", s.Regions, 1}, {"real-workers", s.RealWorkers, 0},
+	} {
+		if field.value < field.from {
+			return &UsageError{field.flag, fmt.Sprintf("%d is below %d", field.value, field.from)}
+		}
+	}
+	switch {
+	case !(s.Rate > 0) || math.IsInf(s.Rate, 0):
+		return &UsageError{"rate", fmt.Sprintf("%g is not above 0", s.Rate)}
+	case s.For < time.Second:
+		return &UsageError{"for", fmt.Sprintf("%v is below 1s", s.For)}
+	case s.Faults.Compress < 0:
+		return &UsageError{"compress", fmt.Sprintf("%g is below 0", s.Faults.Compress)}
+	case !(s.StoreRPS > 0):
+		return &UsageError{"store-rps", fmt.Sprintf("%g is not above 0", s.StoreRPS)}
+	case !(s.StoreWrites > 0):
+		return &UsageError{"store-writes", fmt.Sprintf("%g is not above 0", s.StoreWrites)}
+	case s.Zones < s.Regions:
+		return &UsageError{"zones", fmt.Sprintf("%d zones are fewer than %d regions", s.Zones, s.Regions)}
+	case s.Workers < s.Regions:
+		return &UsageError{"workers", fmt.Sprintf("%d workers are fewer than %d regions", s.Workers, s.Regions)}
+	case s.RealWorkers > s.Workers:
+		return &UsageError{"real-workers", fmt.Sprintf("%d are more than %d workers", s.RealWorkers, s.Workers)}
+	case s.taskTime() < time.Second:
+		return &UsageError{"rate", fmt.Sprintf("%d tasks at %g starts a second run for %v, less than 1s", s.Tasks, s.Rate, s.taskTime())}
+	}
+	if n := s.processes(); n > MostProcesses {
+		return &UsageError{"workers", fmt.Sprintf("it takes %d processes with these controllers, regions and real workers, and %d are the most", n, MostProcesses)}
+	}
+	if mb := s.memoryMB(); mb > mostMemoryMB {
+		return &UsageError{"workers", fmt.Sprintf("it takes some %.0f MB, and %d MB are the most", mb, mostMemoryMB)}
+	}
+	return nil
+}
+
+// hollowProcesses is how many processes the hollow workers of a region share.
+func (s *Size) hollowProcesses() int {
+	n := (s.Workers + s.Regions - 1) / s.Regions
+	return (n + workersPerProcess - 1) / workersPerProcess
+}
+
+// processes counts all that a run starts, this one included.
+func (s *Size) processes() int {
+	return 1 + s.RealWorkers + s.Regions*(1+s.Controllers+s.hollowProcesses())
+}
+
+func (s *Size) memoryMB() float64 {
+	perRegion := stateMB + float64(s.Controllers)*controllerMB + float64(s.hollowProcesses())*hollowProcessMB
+	return float64(s.Regions)*perRegion + float64(s.Workers)*(hollowEachMB+controllerEach*float64(s.Controllers)) + float64(s.RealWorkers)*realWorkerMB
+}
+
+// taskTime is how long a task runs, so that the tasks run at the rate.
+func (s *Size) taskTime() time.Duration {
+	return time.Duration(float64(s.Tasks) / s.Rate * float64(time.Second))
+}
+
+// share splits a count over the regions; the first ones get what is left over.
+func (s *Size) share(count, region int) int {
+	n := count / s.Regions
+	if region < count%s.Regions {
+		n++
+	}
+	return n
+}
+
+// tasksPerWorker is how many tasks a machine holds: no more than are to run, or the leader gives back the workers
+// that nobody needs.
+func (s *Size) tasksPerWorker() int {
+	return max(1, int(math.Ceil(float64(s.Tasks)/float64(s.Workers))))
+}
+
+// Times of the workers, in seconds: those of the large deployments.
+const (
+	reportS    = 5.0
+	leaseS     = 24.0
+	cancelS    = 44.0
+	gangWaitS  = 35.0
+	gangPeerS  = 8.0
+	startupS   = 2.0
+	fetchGBps  = 1.0
+	cacheGB    = 100.0
+	imageGB    = 0.5
+	taskMemGB  = 1.0
+	machineMem = 64.0
+)
+
+// guaranteed and limited are a team's shares of what would be its part if all were alike.
+const (
+	guaranteed = 0.4
+	limited    = 2.0
+)
+
+func teamName(i int) string { return fmt.Sprintf("team-%02d", i) }
+
+// facts are the settings of one region's controllers.
+func (s *Size) facts(region int, zones []string) *config.Facts {
+	f := &config.Facts{
+		Nodes: s.Controllers, Zones: zones, TimeBoundMS: 100,
+		Objectives: []config.Objective{
+			{Kind: config.KindWait, Class: classUrgent, WithinS: urgentS, Share: 0.95},
+			{Kind: "finished", Class: classBulk, WithinS: 20 * s.taskTime().Seconds(), Share: 0.9},
+		},
+		Workers:   config.Workers{ReportS: reportS, LeaseS: leaseS, GangWaitS: gangWaitS, GangPeerS: gangPeerS, CancelS: cancelS},
+		State:     config.State{RPS: s.StoreRPS, WriteRPS: s.StoreWrites, ValueKB: 64, TxnOps: 64},
+		Cloud:     config.Cloud{RPS: 20, ListLagS: 3},
+		Resources: config.Resources{Cores: 1, RAMMB: 4096, FDLimit: 16000},
+	}
+	cpus := float64(s.share(s.Workers, region) * s.tasksPerWorker())
+	for i := range max(s.Teams, 1) {
+		t := config.Team{Name: teamName(i)}
+		if s.Teams > 0 {
+			part := cpus / float64(s.Teams)
+			t.CPUs, t.CPUsMax = math.Floor(guaranteed*part), math.Max(math.Ceil(limited*part), 1)
+		}
+		f.Teams = append(f.Teams, t)
+	}
+	return f
+}
+
+// types are the machines to be had in a region.
+func (s *Size) types(zones []string) []ledger.MachineType {
+	cpus := float64(s.tasksPerWorker())
+	return []ledger.MachineType{{
+		Name: "c", CPUs: cpus, MemGB: max(machineMem, cpus*taskMemGB), CacheGB: cacheGB, FetchGBps: fetchGBps,
+		Price: 0.2, SpotPrice: 0.05, StartupS: startupS, Zones: zones,
+	}}
+}
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -67,50 +67,68 @@
 	}
 }
 
-// end takes the machine away with all that is on it. The world is locked.
-func (m *Machine) end() {
+// end takes the machine away with all that is on it. The world is locked; what it returns closes
+// the machine's address, and is to be called when it is not.
+func (m *Machine) end() (closeAddr func()) {
 	if m.gone {
-		return
+		return func() {}
 	}
 	m.gone = true
-	m.forget("lost")
+	m.forget(time.Now())
 	m.w.bills = append(m.w.bills, m.bill(time.Now()))
-	m.close()
+	return m.close
 }
 
-// forget drops every task.
-func (m *Machine) forget(cause string) {
+// forget drops every task, as lost at a time.
+func (m *Machine) forget(at time.Time) {
 	for _, s := range m.tasks {
 		if s.status != "ended" {
 			if s.status == "running" {
 				m.w.saveProgress(s, s.checkpoint(time.Now()))
 			}
-			m.over(s, cause)
+			m.overAt(s, "lost", at)
 		}
 	}
 	clear(m.tasks)
 }
 
 // over ends a task.
-func (m *Machine) over(s *shot, cause string) {
+func (m *Machine) over(s *shot, cause string) { m.overAt(s, cause, time.Now()) }
+
+// overAt ends a task that was over at a time.
+func (m *Machine) overAt(s *shot, cause string, at time.Time) {
 	if cause != fleet.CauseDone && s.job.Shape != ledger.ShapeService {
 		m.w.wasted += max(s.at(time.Now())-m.w.saved[s.safe()], 0)
 	}
-	s.status, s.cause, s.since, s.until = "ended", cause, time.Now(), time.Time{}
+	s.status, s.cause, s.since, s.until = "ended", cause, at, time.Time{}
 	if of := m.w.byJob[s.id.Job]; of != nil {
 		if delete(of, s); len(of) == 0 {
 			delete(m.w.byJob, s.id.Job)
 		}
 	}
-	m.w.ran = append(m.w.ran, Ran{Task: s.task, Machine: m.Host, Zone: m.Zone, From: s.began, To: s.since, Cause: cause})
+	m.w.ran = append(m.w.ran, Ran{Task: s.task, Machine: m.Host, Zone: m.Zone, From: s.began, Running: s.ran, To: s.since, Cause: cause})
 	m.wake()
 }
 
+// Type names the machine's type.
+func (m *Machine) Type() string { return m.typ.Name }
+
+// Addr is where the machine takes direct commands; "": it does not yet.
+func (m *Machine) Addr() string {
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	if !m.up {
+		return ""
+	}
+	return m.addr
+}
+
 // Die ends a machine without a word; Hang stops it until Resume.
 func (m *Machine) Die() {
 	m.w.mu.Lock()
-	m.end()
+	closeAddr := m.end()
 	m.w.mu.Unlock()
+	closeAddr()
 }
 
 // Hang makes the machine and its worker stand still; false lets them go on.
@@ -140,7 +158,7 @@
 // at the start.
 func (m *Machine) Reboot() {
 	m.w.mu.Lock()
-	m.forget("lost")
+	m.forget(time.Now())
 	m.stint, m.tick, m.baton, m.lastSent = 1, 0, 0, time.Now()
 	m.starts++
 	m.w.mu.Unlock()
@@ -234,10 +252,11 @@
 		}
 		w.mu.Lock()
 		m.addr, m.close = addr, end
-		if m.gone {
+		gone := m.gone
+		w.mu.Unlock()
+		if gone {
 			end()
 		}
-		w.mu.Unlock()
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -254,10 +273,10 @@
 // run is the life of a machine: boot, then report and run tasks.
 func (m *Machine) run() {
 	w := m.w
-	if !m.boot() {
+	if !m.boot() || w.Remote {
 		return
 	}
-	node := 0
+	node := w.firstNode(m)
 	for {
 		w.mu.Lock()
 		if m.gone {
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -216,6 +216,9 @@
 // checkLimit checks what a team's tasks use. What still waits for its image counts as well,
 // which is stricter than the rule.
 func (w *World) checkLimit(team string) {
+	if len(w.Teams) == 0 {
+		return // nobody has one
+	}
 	if cpus, gpus := w.used(team); !w.within(team, cpus, gpus) {
 		w.breach("quota: %s uses %g CPUs and %g GPUs", team, cpus, gpus)
 	}
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -178,6 +178,12 @@
 // ServeWorker serves a machine's own address. A machine that nobody reaches says nothing:
 // the connection is closed without an answer.
 func ServeWorker(app *fiber.App, m *Machine) {
+	ServeWorkers(app, func(*fiber.Ctx) *Machine { return m })
+}
+
+// ServeWorkers serves the addresses of machines; at finds the one that a request is for, nil: none
+// that is there any more.
+func ServeWorkers(app *fiber.App, at func(c *fiber.Ctx) *Machine) {
 	silent := func(c *fiber.Ctx) error {
 		c.Context().Conn().Close()
 		return nil
@@ -187,6 +193,10 @@
 		if json.Unmarshal(c.Body(), &d) != nil || d.Stint == 0 {
 			return c.Status(400).JSON(failure{"baton or stint is missing"})
 		}
+		m := at(c)
+		if m == nil {
+			return silent(c)
+		}
 		status, r, err := m.Direct(d)
 		if err != nil {
 			return silent(c)
@@ -194,6 +204,10 @@
 		return c.Status(status).JSON(r)
 	})
 	app.Get("/status", func(c *fiber.Ctx) error {
+		m := at(c)
+		if m == nil {
+			return silent(c)
+		}
 		r, err := m.Status()
 		if err != nil {
 			return silent(c)
@@ -203,13 +217,13 @@
 }
 
 // Reporter returns the workers' way to controllers at the given addresses.
-func Reporter(call func(node int, body []byte) (status int, answer []byte, err error)) Report {
+func Reporter(call func(host string, node int, body []byte) (status int, answer []byte, err error)) Report {
 	return func(node int, r *fleet.Report) (int, fleet.Response, string) {
 		raw, err := json.Marshal(r)
 		if err != nil {
 			panic(fmt.Sprintf("unwritable report: %v", err))
 		}
-		status, answer, err := call(node, raw)
+		status, answer, err := call(r.Host, node, raw)
 		if err != nil {
 			return 0, fleet.Response{}, ""
 		}
--- a/internal/standin/shot.go
+++ b/internal/standin/shot.go
@@ -20,6 +20,7 @@
 	saved    bool
 	began    time.Time     // when it came
 	since    time.Time     // of the status
+	ran      time.Time     // when it first ran; zero: it has not
 	until    time.Time     // when the status ends by itself; zero: it does not
 	progress time.Duration // when it began to run
 	lacking  time.Time     // since when a mate is missing
@@ -29,7 +30,8 @@
 func (m *Machine) step() {
 	now := time.Now()
 	if now.Sub(m.lastSent) > m.w.Lease {
-		m.forget("lost")
+		m.w.lapses++
+		m.forget(m.lastSent.Add(m.w.Lease))
 		m.stint++
 		m.lastSent = now
 	}
@@ -83,6 +85,7 @@
 // begin lets a task run on from what is safe.
 func (m *Machine) begin(s *shot, now time.Time) {
 	s.status, s.since, s.until = "running", now, time.Time{}
+	s.ran = now
 	s.progress = m.w.saved[s.safe()]
 	if s.job.Shape != ledger.ShapeService {
 		s.until = now.Add(max(m.w.RunFor(s.task)-s.progress, 0))
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -42,6 +42,10 @@
 	Fails func(m *Machine, task string) bool
 	// Open, where it is set, opens a machine's address when it is up; close ends it.
 	Open func(m *Machine) (addr string, close func(), err error)
+	// Remote says that machines are rented here and run elsewhere: Open starts them there.
+	Remote bool
+	// FirstNode is where a machine's worker reports first; nil: at the first controller.
+	FirstNode func(host string) int
 
 	mu        sync.Mutex
 	ctx       context.Context
@@ -60,6 +64,7 @@
 	ran       []Ran
 	bills     []Bill
 	starts    int
+	lapses    int           // leases of workers that ended
 	wasted    time.Duration // work that is to be done again
 	held      func() (command, answer time.Duration)
 	boots     func() time.Duration // how long each machine takes to come up; nil: Startup
@@ -73,6 +78,7 @@
 	Machine string    `json:"machine"`
 	Zone    string    `json:"zone"`
 	From    time.Time `json:"from"`
+	Running time.Time `json:"running,omitzero"` // when it ran; zero: it never did
 	To      time.Time `json:"to"`
 	Cause   string    `json:"cause"` // as workers report it; "lost" with the machine
 }
@@ -105,6 +111,21 @@
 	return w.starts
 }
 
+// Lapses tells how many leases of workers have ended.
+func (w *World) Lapses() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lapses
+}
+
+// firstNode is the controller where a machine's worker reports first.
+func (w *World) firstNode(m *Machine) int {
+	if w.FirstNode == nil {
+		return 0
+	}
+	return w.FirstNode(m.Host)
+}
+
 // Longest is for how long, at the most, a task of a cancelled job was seen on its machine.
 func (w *World) Longest() time.Duration {
 	w.mu.Lock()
@@ -119,7 +140,7 @@
 	return w.wasted
 }
 
-// Running tells on how many machines tasks are.
+// Running tells how many tasks run.
 func (w *World) Running() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -203,15 +224,34 @@
 	var hosts []string
 	for range min(r.Count, free) {
 		w.seq++
-		m := newMachine(w, fmt.Sprintf("m-%06d", w.seq), r)
-		w.machines[m.Host] = m
-		hosts = append(hosts, m.Host)
-		go m.run()
+		hosts = append(hosts, w.add(fmt.Sprintf("m-%06d", w.seq), r).Host)
 	}
 	w.bookings[r.Booking] = hosts
 	return hosts, nil
 }
 
+// add starts a machine, with the world locked.
+func (w *World) add(host string, r rental.Request) *Machine {
+	m := newMachine(w, host, r)
+	w.machines[host] = m
+	go m.run()
+	return m
+}
+
+// Host starts a machine that was rented elsewhere (Remote).
+func (w *World) Host(host string, r rental.Request) *Machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.add(host, r)
+}
+
+// Machine returns a machine by name; nil: there is none.
+func (w *World) Machine(host string) *Machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.machines[host]
+}
+
 // Return ends machines.
 func (c *CloudClient) Return(ctx context.Context, hosts []string) error {
 	if err := c.pass(ctx); err != nil {
@@ -221,15 +261,22 @@
 	return nil
 }
 
+// takeBack ends machines; when it returns, what was on them is gone.
 func (w *World) takeBack(hosts []string) {
+	var ends []func()
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	for _, h := range hosts {
 		if m := w.machines[h]; m != nil {
-			m.end()
+			ends = append(ends, m.end())
 			delete(w.machines, h)
 		}
 	}
+	w.mu.Unlock()
+	var closing sync.WaitGroup
+	for _, end := range ends {
+		closing.Go(end)
+	}
+	closing.Wait()
 }
 
 // List lists the machines.
@@ -268,7 +315,7 @@
 	if m == nil || m.gone || !m.up {
 		return false
 	}
-	m.forget("lost")
+	m.forget(time.Now())
 	m.Version = version
 	m.stint++
 	m.lastSent = time.Now()
