--- a/client/client.go
+++ b/client/client.go
@@ -20,11 +20,19 @@
 
 // Shapes, priorities and states, in the protocol's words.
 const (
-	Batch, Group, Service = "batch", "group", "service"
+	Batch   = "batch"
+	Group   = "group"
+	Service = "service"
 
-	Critical, Urgent, Standard, Low = "critical", "urgent", "standard", "low"
+	Critical = "critical"
+	Urgent   = "urgent"
+	Standard = "standard"
+	Low      = "low"
 
-	Pending, Running, Done, Cancelled = "pending", "running", "done", "cancelled"
+	Pending   = "pending"
+	Running   = "running"
+	Done      = "done"
+	Cancelled = "cancelled"
 )
 
 // Job is a submission (PROTOCOL, POST /work). Amounts are per task, times in seconds,
--- a/client/operator.go
+++ b/client/operator.go
@@ -63,15 +63,19 @@
 	DrainEmpty   = drain.Empty
 	DrainUpgrade = drain.Upgrade
 
-	ThenKeep, ThenReturn = drain.Keep, drain.Return
+	ThenKeep   = drain.Keep
+	ThenReturn = drain.Return
 )
 
-// A drain's window, how it stands, and what it would do.
 type (
-	Window       = drain.Window
+	// Window is when a drain recurs.
+	Window = drain.Window
+	// DrainSummary is a drain and how it stands, as lists have it.
 	DrainSummary = drain.Summary
-	DrainState   = drain.State
-	DrainPlan    = drain.Plan
+	// DrainState is how a drain stands.
+	DrainState = drain.State
+	// DrainPlan is what a drain would do.
+	DrainPlan = drain.Plan
 )
 
 // Drain says which machines are to be emptied, and how. Of what is said of machines all
--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -83,8 +83,8 @@
 				return peer.Progress{}
 			}
 			status, done, running, ok := l.Progress(id)
-			age, clear := l.Clear(id)
-			return peer.Progress{Known: ok, Status: status, Done: done, Running: running, Clear: clear, ClearMS: age.Milliseconds()}
+			age, isClear := l.Clear(id)
+			return peer.Progress{Known: ok, Status: status, Done: done, Running: running, Clear: isClear, ClearMS: age.Milliseconds()}
 		},
 		Relay:   server.Relay,
 		Checkin: server.Forwarded, Cancelled: server.Cancelled,
--- a/cmd/drumpickctl/drains.go
+++ b/cmd/drumpickctl/drains.go
@@ -18,14 +18,14 @@
 
 // drainFlags are how a drain is said on the command line.
 type drainFlags struct {
-	d             client.Drain
-	cordon        bool
-	older, in     time.Duration
-	by            string
-	rule, zone    string
-	starts        string
-	length, lead  time.Duration
-	upgrade, then string
+	d            client.Drain
+	cordon       bool
+	older, in    time.Duration
+	by           string
+	rule, zone   string
+	starts       string
+	length, lead time.Duration
+	upgrade      string
 }
 
 func (x *drainFlags) add(cmd *cobra.Command) {
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -98,6 +98,8 @@
 	return m, false
 }
 
+// CheckSettled notes when every machine that an earlier term may have used has been heard, or is
+// gone.
 func (c *Core) CheckSettled(now time.Time) {
 	if c.fleet.Unsettled() {
 		return
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -77,10 +77,13 @@
 	return true
 }
 
-// SpotMark, FirmMark, ImageMark and ReadyMark name what tasks may prefer of a machine's
-// bin: that the cloud may take it, that it may not, and an image.
-const SpotMark, FirmMark = "spot", "firm"
+// What tasks may prefer of a machine's bin: that the cloud may take it, or that it may not.
+const (
+	SpotMark = "spot"
+	FirmMark = "firm"
+)
 
+// ImageMark is the mark of a machine that has an image, or fetches it.
 func ImageMark(image string) string { return "image " + image }
 
 // ReadyMark is the mark of a machine where an image has been used, not only asked for.
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -92,7 +92,9 @@
 
 // Verbs and causes in the protocol's words.
 const (
-	VerbRun, VerbKill, VerbReap = "run", "kill", "reap"
+	VerbRun  = "run"
+	VerbKill = "kill"
+	VerbReap = "reap"
 
 	CauseDone      = "done"
 	CauseStopped   = "stopped"
--- a/internal/intake/confirm_test.go
+++ b/internal/intake/confirm_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -89,7 +88,7 @@
 					time.Sleep(time.Second - time.Since(began)%time.Second)
 				}
 				if peers.times != x.asks {
-					t.Error(fmt.Sprintf("the leader was asked %d times, want %d", peers.times, x.asks))
+					t.Errorf("the leader was asked %d times, want %d", peers.times, x.asks)
 				}
 			})
 		})
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -499,8 +499,8 @@
 func (s *Server) progress(id string) peer.Progress {
 	if l := s.local(); l != nil {
 		if status, done, running, ok := l.Progress(id); ok {
-			age, clear := l.Clear(id)
-			return peer.Progress{Known: true, Status: status, Done: done, Running: running, Clear: clear, ClearMS: age.Milliseconds()}
+			age, isClear := l.Clear(id)
+			return peer.Progress{Known: true, Status: status, Done: done, Running: running, Clear: isClear, ClearMS: age.Milliseconds()}
 		}
 	} else if node := s.leader(); node != "" && node != s.cfg.Node {
 		if p, err := s.peers.Progress(node, id); err == nil && p.Known {
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -25,7 +25,7 @@
 	"drumpick/internal/tenure"
 )
 
-// Store, Cloud, Workers and Peers are what a leader needs of the world outside.
+// Store is the state service as a leader needs it.
 type Store interface {
 	Get(ctx context.Context, key string) (*ledger.Row, error)
 	List(ctx context.Context, prefix string, each func(ledger.Row) error) (uint64, error)
@@ -36,6 +36,7 @@
 	FailedSince(t time.Time) bool
 }
 
+// Cloud rents machines.
 type Cloud interface {
 	Types(ctx context.Context) ([]ledger.MachineType, error)
 	Rent(ctx context.Context, r rental.Request) ([]string, error)
@@ -43,11 +44,13 @@
 	List(ctx context.Context) ([]rental.Listed, error)
 }
 
+// Workers takes direct commands to workers.
 type Workers interface {
 	Go(f func())
 	Orders(addr string, d fleet.Direct) (int, *fleet.Report, error)
 }
 
+// Peers are the other controllers.
 type Peers interface {
 	Tell(ctx context.Context, ask peer.Inquiry) (answers []peer.Status, all bool)
 }
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -72,10 +72,19 @@
 
 // Shapes, priorities and states of jobs, in the protocol's words.
 const (
-	ShapeBatch, ShapeGroup, ShapeService          = "batch", "group", "service"
-	StatusPending, StatusRunning                  = "pending", "running"
-	StatusDone, StatusCancelled                   = "done", "cancelled"
-	PrioCritical, PrioUrgent, PrioNormal, PrioLow = "critical", "urgent", "standard", "low"
+	ShapeBatch   = "batch"
+	ShapeGroup   = "group"
+	ShapeService = "service"
+
+	StatusPending   = "pending"
+	StatusRunning   = "running"
+	StatusDone      = "done"
+	StatusCancelled = "cancelled"
+
+	PrioCritical = "critical"
+	PrioUrgent   = "urgent"
+	PrioNormal   = "standard"
+	PrioLow      = "low"
 )
 
 // Over is the final state of a job. What is omitted was not written by earlier
@@ -124,8 +133,10 @@
 	return len(raw)
 }
 
-// OpenKey and its kin name the records of a job.
+// OpenKey names the record of a job that is open.
 func OpenKey(id string) string { return PrefixOpen + id }
+
+// OverKey names the record of a job that is over.
 func OverKey(id string) string { return PrefixOver + id }
 
 // PartID names what is kept of a chunk of a job's finished tasks. Many such records share
--- a/internal/packing/packing.go
+++ b/internal/packing/packing.go
@@ -9,8 +9,10 @@
 // Vec is an amount in every dimension.
 type Vec struct{ CPU, GPU, Mem float64 }
 
-// Add returns v + w, Sub v - w.
+// Add returns v + w.
 func (v Vec) Add(w Vec) Vec { return Vec{v.CPU + w.CPU, v.GPU + w.GPU, v.Mem + w.Mem} }
+
+// Sub returns v - w.
 func (v Vec) Sub(w Vec) Vec { return Vec{v.CPU - w.CPU, v.GPU - w.GPU, v.Mem - w.Mem} }
 
 // eps forgives the rounding of decimal amounts that were added and taken away.
--- a/internal/packing/space.go
+++ b/internal/packing/space.go
@@ -263,14 +263,14 @@
 func (s *Space) searchRanked(it *Item, from int, room [steps + 1]kinds, only, not set, fits func(*Bin) bool) *Bin {
 	// Which bins are in question does not depend on the marks: most searches end here, as none is.
 	var found [steps + 1]bool
-	any := false
+	some := false
 	for g := from; g <= steps; g++ {
 		if room[g] != 0 {
 			found[g] = s.gather(g, room[g], only, not)
-			any = any || found[g]
+			some = some || found[g]
 		}
 	}
-	if !any {
+	if !some {
 		return nil
 	}
 	n := len(it.Prefer)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -101,7 +101,9 @@
 
 // Requests of users that one controller passes on to another.
 const (
-	Submit, Poll, Withdraw = "submit", "poll", "withdraw"
+	Submit   = "submit"
+	Poll     = "poll"
+	Withdraw = "withdraw"
 	// SubmitChain is a submission that names prerequisites. Guards against an earlier
 	// version, which would accept it as a job that waits for nothing: it does not know
 	// this word, and answers 400.
--- a/internal/scale/cell.go
+++ b/internal/scale/cell.go
@@ -74,8 +74,8 @@
 		return nil, err
 	}
 	c.store = link.New(c.state.Service, 4, time.Second)
-	workers, real := size.share(size.Workers, index), size.share(size.RealWorkers, index)
-	if err = c.startHosts(programs.Self, dir, real, workers-real); err != nil {
+	workers, apart := size.share(size.Workers, index), size.share(size.RealWorkers, index)
+	if err = c.startHosts(programs.Self, dir, apart, workers-apart); err != nil {
 		return nil, err
 	}
 	perZone := (workers + len(c.zones) - 1) / len(c.zones)
@@ -107,8 +107,8 @@
 }
 
 // startHosts starts the processes of workers: one for each real one, and as many as the hollow ones need.
-func (c *cell) startHosts(program, dir string, real, hollow int) error {
-	for i := range real {
+func (c *cell) startHosts(program, dir string, apart, hollow int) error {
+	for i := range apart {
 		h, err := startChild(program, filepath.Join(dir, fmt.Sprintf("real-%d.log", i+1)), "serve", RoleWorkers)
 		if err != nil {
 			return err
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -41,7 +41,7 @@
 	// Fails says whether a task fails on a machine; nil: none does.
 	Fails func(m *Machine, task string) bool
 	// Open, where it is set, opens a machine's address when it is up; close ends it.
-	Open func(m *Machine) (addr string, close func(), err error)
+	Open func(m *Machine) (addr string, closeAddr func(), err error)
 	// Remote says that machines are rented here and run elsewhere: Open starts them there.
 	Remote bool
 	// FirstNode is where a machine's worker reports first; nil: at the first controller.
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -351,8 +351,8 @@
 				break
 			}
 			status, done, running, ok := l.Progress(id)
-			age, clear := l.Clear(id)
-			return peer.Progress{Known: ok, Status: status, Done: done, Running: running, Clear: clear, ClearMS: age.Milliseconds()}, nil
+			age, isClear := l.Clear(id)
+			return peer.Progress{Known: ok, Status: status, Done: done, Running: running, Clear: isClear, ClearMS: age.Milliseconds()}, nil
 		}
 	}
 	return peer.Progress{}, errors.New("no answer")
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -35,13 +35,13 @@
 					}
 				}
 				c := counts[z]
-				clear := c.Machines >= fewest && others >= fewest && 4*quiet <= others
+				quietElsewhere := c.Machines >= fewest && others >= fewest && 4*quiet <= others
 				switch fell := slices.Contains(dark, z); {
-				case fell && (len(names) == 1 || !clear || c.Silent < c.Machines):
+				case fell && (len(names) == 1 || !quietElsewhere || c.Silent < c.Machines):
 					t.Fatalf("%s is dark with %+v", z, counts)
 				case fell:
 					since[z] = now
-				case clear && c.Silent == c.Machines && !w.Dark(z) && !slices.Contains(light, z):
+				case quietElsewhere && c.Silent == c.Machines && !w.Dark(z) && !slices.Contains(light, z):
 					t.Fatalf("%s is not dark with %+v", z, counts)
 				}
 				if w.Dark(z) && c.Machines > 0 && 2*c.Silent <= c.Machines {
