Names: session for stint, attempt for shot, fakeFleet for yard, wholeRecord for oath

The field's words in place of our own, in Go names and comments; JSON tags, stored keys and messages between controllers are as they were. No behaviour changes.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -66,7 +66,7 @@
 	}
 	for i := range machines {
 		h := fmt.Sprintf("m-%06d", i)
-		s.hosts = append(s.hosts, &fleet.Report{Host: h, Addr: h + ":1", Type: "c4", Zone: "a", Spot: true, Stint: 1, Baton: 5})
+		s.hosts = append(s.hosts, &fleet.Report{Host: h, Addr: h + ":1", Type: "c4", Zone: "a", Spot: true, Session: 1, Baton: 5})
 		s.report()
 		s.core.fleet.Machines[h].Recorded = true
 	}
--- a/internal/dispatch/claims_test.go
+++ b/internal/dispatch/claims_test.go
@@ -28,12 +28,12 @@
 	t.Cleanup(func() { slog.SetDefault(old) })
 }
 
-// yard is a few machines that do what a Core tells them, in made-up time.
-type yard struct {
+// fakeFleet is a few machines that do what a Core tells them, in made-up time.
+type fakeFleet struct {
 	t     *rapid.T
 	c     *Core
 	now   time.Time
-	hosts []*yardHost
+	hosts []*fakeMachine
 	jobs  map[string]ledger.Job
 	runs  map[string]time.Duration // by job
 	began map[string]bool          // jobs that have started
@@ -41,12 +41,12 @@
 	died  time.Time                // when a worker last died
 }
 
-type yardHost struct {
-	report fleet.Report
-	shots  []*yardShot
+type fakeMachine struct {
+	report   fleet.Report
+	attempts []*fakeAttempt
 }
 
-type yardShot struct {
+type fakeAttempt struct {
 	fleet.TaskReport
 	job      string
 	ends     time.Time // when it completes, or has saved
@@ -54,26 +54,26 @@
 	left     time.Duration // what it still had before it when it was stopped
 }
 
-const yardCPUs = 4
+const fakeCPUs = 4
 
 // newYard opens one with so many machines in each of two zones.
-func newYard(t *rapid.T, options config.Options, teams []config.Team, slots int) *yard {
+func newFakeFleet(t *rapid.T, options config.Options, teams []config.Team, slots int) *fakeFleet {
 	cfg := &config.Config{Options: options}
 	cfg.Facts.Workers = config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 5, CancelS: 30}
 	cfg.Facts.State.ValueKB, cfg.Facts.Zones, cfg.Facts.Teams = 8, []string{"a", "b"}, teams
-	y := &yard{t: t, now: time.Unix(1_000_000, 0), jobs: map[string]ledger.Job{}, runs: map[string]time.Duration{}, asked: map[string]time.Time{}, began: map[string]bool{}}
+	y := &fakeFleet{t: t, now: time.Unix(1_000_000, 0), jobs: map[string]ledger.Job{}, runs: map[string]time.Duration{}, asked: map[string]time.Time{}, began: map[string]bool{}}
 	y.c = NewCore(SettingsOf(cfg), 5, y.now)
-	y.c.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: yardCPUs, MemGB: 16, Price: 0.2, StartupS: 20, CacheGB: 40, Zones: []string{"a", "b"}}})
+	y.c.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: fakeCPUs, MemGB: 16, Price: 0.2, StartupS: 20, CacheGB: 40, Zones: []string{"a", "b"}}})
 	y.c.CheckSettled(y.now)
 	for i := range 2 * slots {
 		host := fmt.Sprintf("m-%02d", i)
-		y.hosts = append(y.hosts, &yardHost{report: fleet.Report{Host: host, Addr: host, Type: "c4", Zone: string("ab"[i%2]), Stint: 1, Baton: 5}})
+		y.hosts = append(y.hosts, &fakeMachine{report: fleet.Report{Host: host, Addr: host, Type: "c4", Zone: string("ab"[i%2]), Session: 1, Baton: 5}})
 	}
 	return y
 }
 
 // step lets half a second pass, and every machine report once in a report interval.
-func (y *yard) step(i int) {
+func (y *fakeFleet) step(i int) {
 	y.now = y.now.Add(500 * time.Millisecond)
 	y.c.Tick(y.now, true)
 	for host := range y.c.kick {
@@ -94,10 +94,10 @@
 	y.check()
 }
 
-func (y *yard) checkin(h *yardHost) {
+func (y *fakeFleet) checkin(h *fakeMachine) {
 	h.report.Tick++
 	h.report.Tasks = h.report.Tasks[:0]
-	for _, s := range h.shots {
+	for _, s := range h.attempts {
 		h.report.Tasks = append(h.report.Tasks, s.TaskReport)
 	}
 	r := h.report
@@ -118,33 +118,33 @@
 	}
 }
 
-func (y *yard) obey(h *yardHost, orders []fleet.Order) {
+func (y *fakeFleet) obey(h *fakeMachine, orders []fleet.Order) {
 	for _, o := range orders {
-		i := slices.IndexFunc(h.shots, func(s *yardShot) bool { return s.Shot == o.Shot && s.Try == o.Try })
+		i := slices.IndexFunc(h.attempts, func(s *fakeAttempt) bool { return s.Shot == o.Shot && s.Try == o.Try })
 		switch {
 		case o.Verb == fleet.VerbRun && i < 0:
 			id, _ := fleet.ParseTask(o.Shot)
-			s := &yardShot{TaskReport: fleet.TaskReport{Shot: o.Shot, Try: o.Try, Status: "running"}, job: id.Job, ends: y.now.Add(y.runs[id.Job])}
+			s := &fakeAttempt{TaskReport: fleet.TaskReport{Shot: o.Shot, Try: o.Try, Status: "running"}, job: id.Job, ends: y.now.Add(y.runs[id.Job])}
 			if y.jobs[id.Job].Shape == ledger.ShapeGroup {
 				s.Status = "waiting"
 			}
-			h.shots = append(h.shots, s)
-		case o.Verb == fleet.VerbKill && i >= 0 && h.shots[i].Status != "ended" && !h.shots[i].stopping:
-			s := h.shots[i]
+			h.attempts = append(h.attempts, s)
+		case o.Verb == fleet.VerbKill && i >= 0 && h.attempts[i].Status != "ended" && !h.attempts[i].stopping:
+			s := h.attempts[i]
 			s.left = s.ends.Sub(y.now)
 			s.stopping, s.Status = true, "flushing"
 			s.ends = y.now.Add(time.Duration(*o.WindDownS * float64(time.Second)))
 		case o.Verb == fleet.VerbReap && i >= 0:
-			h.shots = slices.Delete(h.shots, i, i+1)
+			h.attempts = slices.Delete(h.attempts, i, i+1)
 		}
 	}
 }
 
 // advance ends what is over, and starts gangs that are complete.
-func (y *yard) advance(h *yardHost) {
-	for _, s := range h.shots {
-		if s.Status == "waiting" && len(y.find(func(o *yardShot) bool { return o.job == s.job && o.Try == s.Try })) == y.jobs[s.job].Tasks {
-			for _, o := range y.find(func(o *yardShot) bool { return o.job == s.job && o.Try == s.Try }) {
+func (y *fakeFleet) advance(h *fakeMachine) {
+	for _, s := range h.attempts {
+		if s.Status == "waiting" && len(y.find(func(o *fakeAttempt) bool { return o.job == s.job && o.Try == s.Try })) == y.jobs[s.job].Tasks {
+			for _, o := range y.find(func(o *fakeAttempt) bool { return o.job == s.job && o.Try == s.Try }) {
 				o.Status, o.ends = "running", y.now.Add(y.runs[s.job])
 			}
 		}
@@ -158,10 +158,10 @@
 	}
 }
 
-func (y *yard) find(is func(*yardShot) bool) []*yardShot {
-	var all []*yardShot
+func (y *fakeFleet) find(is func(*fakeAttempt) bool) []*fakeAttempt {
+	var all []*fakeAttempt
 	for _, h := range y.hosts {
-		for _, s := range h.shots {
+		for _, s := range h.attempts {
 			if is(s) {
 				all = append(all, s)
 			}
@@ -171,13 +171,13 @@
 }
 
 // check looks at the rules: room, one place for each task, limits, zones.
-func (y *yard) check() {
+func (y *fakeFleet) check() {
 	on := map[string]string{}
 	use := map[string]float64{}
 	zones := map[string]string{}
 	for _, h := range y.hosts {
 		cpus := 0.0
-		for _, s := range h.shots {
+		for _, s := range h.attempts {
 			if s.Status == "ended" {
 				continue
 			}
@@ -193,7 +193,7 @@
 			}
 			zones[s.job] = h.report.Zone
 		}
-		if cpus > yardCPUs {
+		if cpus > fakeCPUs {
 			y.t.Fatalf("%s holds tasks of %g CPUs", h.report.Host, cpus)
 		}
 	}
@@ -229,13 +229,13 @@
 		slots := rapid.IntRange(2, 5).Draw(t, "machines by zone")
 		var teams []config.Team
 		for i := range rapid.IntRange(1, 3).Draw(t, "teams") {
-			team := config.Team{Name: fmt.Sprint("team-", i), CPUs: float64(yardCPUs * rapid.IntRange(0, slots).Draw(t, "guarantee"))}
+			team := config.Team{Name: fmt.Sprint("team-", i), CPUs: float64(fakeCPUs * rapid.IntRange(0, slots).Draw(t, "guarantee"))}
 			if rapid.Bool().Draw(t, "limited") {
-				team.CPUsMax = max(team.CPUs, float64(yardCPUs*slots))
+				team.CPUsMax = max(team.CPUs, float64(fakeCPUs*slots))
 			}
 			teams = append(teams, team)
 		}
-		y := newYard(t, config.DefaultOptions(), teams, slots)
+		y := newFakeFleet(t, config.DefaultOptions(), teams, slots)
 		all := 0   // tasks
 		asked := 0 // what the tasks of jobs that may ask for room could take, in smallest tasks
 		var comes []ledger.Job
@@ -267,12 +267,12 @@
 				comes = comes[1:]
 			}
 			if h := y.hosts[0]; i == dies && dies > 0 {
-				h.report.Stint, h.report.Tick = h.report.Stint+1, 0
+				h.report.Session, h.report.Tick = h.report.Session+1, 0
 				y.died = y.now
-				for _, s := range h.shots { // and a gang is asked for anew
+				for _, s := range h.attempts { // and a gang is asked for anew
 					asked += y.jobs[s.job].Tasks * int(y.jobs[s.job].CPUs)
 				}
-				h.shots = nil
+				h.attempts = nil
 			}
 			y.step(i)
 		}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -387,7 +387,7 @@
 func (c *Core) LoadHost(host string, h ledger.Host, now time.Time) {
 	m := c.fleet.Ensure(host, h.Addr, h.Type, h.Zone, h.Spot)
 	m.Recorded, m.Inherited = true, true
-	m.Stint = max(m.Stint, h.Stint)
+	m.Session = max(m.Session, h.Session)
 	m.SilentSince = now
 	c.rent.listed[host] = now // it was up before, so a list from later on must have it
 	c.fit(m)
--- a/internal/dispatch/drainbench_test.go
+++ b/internal/dispatch/drainbench_test.go
@@ -38,7 +38,7 @@
 	reports := make([]*fleet.Report, machines)
 	for i := range reports {
 		h := fmt.Sprintf("m-%06d", i)
-		reports[i] = &fleet.Report{Host: h, Addr: h, Type: "c4", Zone: cfg.Facts.Zones[i%3], Spot: true, Stint: 1, Baton: 5, Version: "1"}
+		reports[i] = &fleet.Report{Host: h, Addr: h, Type: "c4", Zone: cfg.Facts.Zones[i%3], Spot: true, Session: 1, Baton: 5, Version: "1"}
 		r := *reports[i]
 		m, _ := c.Body(&r, true, now)
 		m.Recorded = true
--- a/internal/dispatch/drains_test.go
+++ b/internal/dispatch/drains_test.go
@@ -24,13 +24,13 @@
 		cfg := &config.Config{Options: config.DefaultOptions()}
 		cfg.Facts.Workers = config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 5, CancelS: 30}
 		cfg.Facts.State.ValueKB, cfg.Facts.Zones, cfg.Facts.Teams = 8, []string{"a", "b"}, []config.Team{{Name: "team"}}
-		y := &yard{t: t, now: time.Unix(1_000_000, 0), jobs: map[string]ledger.Job{}, runs: map[string]time.Duration{}, asked: map[string]time.Time{}, began: map[string]bool{}}
+		y := &fakeFleet{t: t, now: time.Unix(1_000_000, 0), jobs: map[string]ledger.Job{}, runs: map[string]time.Duration{}, asked: map[string]time.Time{}, began: map[string]bool{}}
 		y.c = NewCore(SettingsOf(cfg), 5, y.now)
-		y.c.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: yardCPUs, MemGB: 16, Price: 0.2, StartupS: 20, CacheGB: 40, Zones: cfg.Facts.Zones}})
+		y.c.SetTypes([]ledger.MachineType{{Name: "c4", CPUs: fakeCPUs, MemGB: 16, Price: 0.2, StartupS: 20, CacheGB: 40, Zones: cfg.Facts.Zones}})
 		y.c.CheckSettled(y.now)
 		for i := range machines {
 			host := fmt.Sprintf("m-%02d", i)
-			y.hosts = append(y.hosts, &yardHost{report: fleet.Report{Host: host, Addr: host, Type: "c4", Zone: string("ab"[i%2]), Stint: 1, Baton: 5}})
+			y.hosts = append(y.hosts, &fakeMachine{report: fleet.Report{Host: host, Addr: host, Type: "c4", Zone: string("ab"[i%2]), Session: 1, Baton: 5}})
 		}
 		var comes []ledger.Job
 		for i := range rapid.IntRange(1, 5).Draw(t, "jobs") {
@@ -88,9 +88,9 @@
 					y.c.SetDrain(w.spec, nil, 0)
 				}
 			}
-			was := map[*yardShot]bool{}
+			was := map[*fakeAttempt]bool{}
 			for _, h := range y.hosts {
-				for _, s := range h.shots {
+				for _, s := range h.attempts {
 					was[s] = true
 				}
 			}
@@ -106,7 +106,7 @@
 				if m == nil {
 					continue // has not reported yet
 				}
-				for _, s := range h.shots {
+				for _, s := range h.attempts {
 					if cordoned[h.report.Host] && m.Cordon != nil && !was[s] {
 						t.Fatalf("%s started on %s, which is drained", s.Shot, h.report.Host)
 					}
@@ -116,7 +116,7 @@
 				}
 				d, ok := m.Cordon.(*drainWork)
 				if ok && !d.by.IsZero() && y.now.Sub(d.by) > 10*time.Second {
-					for _, s := range h.shots {
+					for _, s := range h.attempts {
 						if s.Status != "ended" {
 							t.Fatalf("%s is still on %s, %v after it was to be empty", s.Shot, h.report.Host, y.now.Sub(d.by))
 						}
@@ -138,7 +138,7 @@
 
 // moved says whether a task that was stopped had been running for longer than a move made
 // only to fill or empty a bin would take.
-func (s *yardShot) moved(y *yard) bool {
+func (s *fakeAttempt) moved(y *fakeFleet) bool {
 	ran := y.runs[s.job] - s.left
 	return ran > 2*y.c.set.Round
 }
--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -21,8 +21,8 @@
 // Unheard is a machine that has to show the term, by its address and the session of its
 // worker that is known.
 type Unheard struct {
-	Addr  string
-	Stint uint64
+	Addr    string
+	Session uint64
 }
 
 // Unheard lists those that have not.
@@ -30,7 +30,7 @@
 	var list []Unheard
 	for _, m := range c.fleet.Sorted() {
 		if m.Unheard() && m.Addr != "" {
-			list = append(list, Unheard{m.Addr, max(m.Stint, 1)})
+			list = append(list, Unheard{m.Addr, max(m.Session, 1)})
 		}
 	}
 	return list
@@ -70,8 +70,8 @@
 
 // Latest says whether a report, by its session and number, is the last that we know of a
 // machine.
-func (c *Core) Latest(m *fleet.Machine, stint, tick uint64) bool {
-	return c.fleet.Machines[m.Host] == m && m.Stint == stint && m.Tick == tick
+func (c *Core) Latest(m *fleet.Machine, session, tick uint64) bool {
+	return c.fleet.Machines[m.Host] == m && m.Session == session && m.Tick == tick
 }
 
 // Call is orders that a machine is to hear at once, not at its next report.
@@ -90,7 +90,7 @@
 			continue
 		}
 		if orders := m.Orders(); len(orders) > 0 {
-			call := Call{m.Addr, fleet.Direct{Baton: c.term, Stint: m.Stint, Orders: orders}}
+			call := Call{m.Addr, fleet.Direct{Baton: c.term, Session: m.Session, Orders: orders}}
 			if m.Deaf() {
 				deaf = append(deaf, call)
 			} else {
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -423,7 +423,7 @@
 	wasDeaf := c.deaf(q.Host)
 	out, anew := c.fleet.Answer(q, r, now)
 	if anew {
-		slog.Info("machine has started anew", "machine", q.Host, "stint", r.Stint, "tick", r.Tick, "gone", len(out.Gone), "term", c.term)
+		slog.Info("machine has started anew", "machine", q.Host, "stint", r.Session, "tick", r.Tick, "gone", len(out.Gone), "term", c.term)
 	}
 	c.take(out, wasDeaf, now)
 }
--- a/internal/dispatch/largest_test.go
+++ b/internal/dispatch/largest_test.go
@@ -13,12 +13,12 @@
 	"pgregory.net/rapid"
 )
 
-// crowded is a yard in which small work of a later turn always waits, and gangs that need all
+// crowded is a fleet on which small work of a later turn always waits, and gangs that need all
 // of a zone come in between. It tells when each began, counted from when it came.
 func crowded(t *rapid.T, begin float64, slots int, gangs []int, runs []int) map[string]time.Duration {
 	options := config.DefaultOptions()
 	options.Largest, options.BeginS = begin > 0, max(begin, 1)
-	y := newYard(t, options, []config.Team{{Name: "team"}}, slots)
+	y := newFakeFleet(t, options, []config.Team{{Name: "team"}}, slots)
 	add := func(id, shape string, tasks int, cpus float64, run int) {
 		j := ledger.Job{ID: id, Team: "team", Image: "img", MemGB: 1, Shape: shape, Priority: ledger.PrioNormal, CPUs: cpus, Tasks: tasks,
 			OneZone: shape == ledger.ShapeGroup, EstimateS: float64(run), AcceptedMS: y.now.UnixMilli()}
@@ -30,11 +30,11 @@
 		if i%4 == 0 {
 			// As much as all machines do in two seconds, and a little more.
 			run := runs[i/4%len(runs)]
-			add(fmt.Sprint("j-1000", i), ledger.ShapeBatch, 1+2*yardCPUs*slots*2/run, 1, run)
+			add(fmt.Sprint("j-1000", i), ledger.ShapeBatch, 1+2*fakeCPUs*slots*2/run, 1, run)
 		}
 		for n, at := range gangs {
 			if id := fmt.Sprint("j-9", n); i == at {
-				add(id, ledger.ShapeGroup, slots, yardCPUs, 10)
+				add(id, ledger.ShapeGroup, slots, fakeCPUs, 10)
 				came[id] = y.now
 			}
 		}
--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -65,7 +65,7 @@
 
 // usageStory plays random events to a core, with workers that obey it.
 type usageStory struct {
-	*yard
+	*fakeFleet
 	t      *rapid.T
 	teams  []config.Team
 	old    []fleet.Report // reports that came, of which copies may come again
@@ -80,10 +80,10 @@
 	}
 	options := config.DefaultOptions()
 	options.Guarantees = true
-	return &usageStory{yard: newYard(t, options, teams, 3), t: t, teams: teams}
+	return &usageStory{fakeFleet: newFakeFleet(t, options, teams, 3), t: t, teams: teams}
 }
 
-func (s *usageStory) pickHost() *yardHost { return rapid.SampledFrom(s.hosts).Draw(s.t, "machine") }
+func (s *usageStory) pickHost() *fakeMachine { return rapid.SampledFrom(s.hosts).Draw(s.t, "machine") }
 
 func (s *usageStory) submit() {
 	j := ledger.Job{
@@ -106,7 +106,7 @@
 	s.advance(h)
 	h.report.Tick++
 	h.report.Tasks = nil
-	for _, shot := range h.shots {
+	for _, shot := range h.attempts {
 		h.report.Tasks = append(h.report.Tasks, shot.TaskReport)
 	}
 	r := h.report
@@ -131,7 +131,7 @@
 func (s *usageStory) stranger() {
 	id := fleet.TaskID{Job: fmt.Sprint("j-", rapid.IntRange(0, 12).Draw(s.t, "job")), N: rapid.IntRange(0, 8).Draw(s.t, "task")}
 	h := s.pickHost()
-	h.shots = append(h.shots, &yardShot{
+	h.attempts = append(h.attempts, &fakeAttempt{
 		TaskReport: fleet.TaskReport{Shot: id.String(), Try: 3<<24 + uint64(rapid.IntRange(1, 9).Draw(s.t, "attempt")), Status: "running"},
 		job:        id.Job, ends: s.now.Add(20 * time.Second),
 	})
@@ -186,7 +186,7 @@
 		s.stranger()
 	case "session":
 		h := s.pickHost()
-		h.report.Stint, h.shots = h.report.Stint+1, nil
+		h.report.Session, h.attempts = h.report.Session+1, nil
 	case "cancellation":
 		if id := s.anyJob(); id != "" {
 			s.c.Over(id, ledger.Over{Status: ledger.StatusCancelled}, 20)
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -185,11 +185,11 @@
 		}
 		ws = append(ws, c.finish(j, ledger.Over{Status: ledger.StatusDone, AtMS: now.UnixMilli()}))
 	}
-	if oath := due(now); oath != nil {
-		if !fits(1, ledger.Size(oath)) {
+	if wholeRecord := due(now); wholeRecord != nil {
+		if !fits(1, ledger.Size(wholeRecord)) {
 			return ws
 		}
-		ws = append(ws, Write{Ops: []ledger.Op{{Write: ledger.KeyWhole, Value: oath}}, Apply: func(uint64) {}})
+		ws = append(ws, Write{Ops: []ledger.Op{{Write: ledger.KeyWhole, Value: wholeRecord}}, Apply: func(uint64) {}})
 	}
 	if !r.takeMarks(&ws, fits, now) {
 		return ws
@@ -199,7 +199,7 @@
 			continue
 		}
 		m.Recording = true
-		h := ledger.Host{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Stint: m.Stint}
+		h := ledger.Host{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Session: m.Session}
 		raw, err := json.Marshal(h)
 		if err != nil {
 			slog.Error("unwritable record", "machine", m.Host, "err", err)
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -345,7 +345,7 @@
 	host := rest[0]
 	r := &fleet.Report{
 		Host: host, Addr: host + ":1", Type: or(a["type"], "c4"), Zone: or(a["zone"], "a"), Spot: a["spot"] != "",
-		Version: a["version"], Stint: uint64(s.num(a["stint"], 1)), Baton: uint64(s.num(a["baton"], float64(s.term))),
+		Version: a["version"], Session: uint64(s.num(a["stint"], 1)), Baton: uint64(s.num(a["baton"], float64(s.term))),
 	}
 	if n := a["notice"]; n != "" {
 		f := s.num(n, 0)
--- a/internal/fleet/hearing.go
+++ b/internal/fleet/hearing.go
@@ -30,7 +30,7 @@
 func (m *Machine) hear(r *Report, isReport bool, term uint64, now time.Time) {
 	h := &m.hearing
 	heard := !isReport || m.Baton < term && r.Baton == term
-	stays := h.asked && h.via != "" && r.Via == h.via && r.Stint == m.Stint && (r.Tick == m.Tick+1 || now.Sub(h.at) < away)
+	stays := h.asked && h.via != "" && r.Via == h.via && r.Session == m.Session && (r.Tick == m.Tick+1 || now.Sub(h.at) < away)
 	known := h.asked && h.via != "" && r.Via != "" // whether it stayed
 	sent := false
 	for _, a := range m.order {
--- a/internal/fleet/older.go
+++ b/internal/fleet/older.go
@@ -10,18 +10,18 @@
 // shows of tokens only rises as well: a lower one beside a higher number is a copy of what it
 // said before it started anew, under an earlier leader.
 func (m *Machine) Older(r *Report) bool {
-	return m.Up && (r.Stint < m.Stint || r.Stint == m.Stint && r.Tick <= m.Tick || r.Baton < m.Baton)
+	return m.Up && (r.Session < m.Session || r.Session == m.Session && r.Tick <= m.Tick || r.Baton < m.Baton)
 }
 
 // doubt is what speaks against taking a machine's reports at their word.
 type doubt struct {
-	older time.Time // when a report last came that was older than what is known
-	since time.Time // when the first of these came since the last one that was not
-	anew  bool      // it has started anew: copies of before may look newer than what it says now
-	open  time.Time // since when it is to be asked, as a report lacks what the machine should have
-	asked time.Time
-	stint uint64 // of the last report, of whatever age
-	addr  string
+	older   time.Time // when a report last came that was older than what is known
+	since   time.Time // when the first of these came since the last one that was not
+	anew    bool      // it has started anew: copies of before may look newer than what it says now
+	open    time.Time // since when it is to be asked, as a report lacks what the machine should have
+	asked   time.Time
+	session uint64 // of the last report, of whatever age
+	addr    string
 }
 
 // CopiesLeases is for how many leases copies may come after one has.
@@ -51,7 +51,7 @@
 // last its lease ended though it had reported all the time.
 func (m *Machine) Overtaken(r *Report, now time.Time) bool {
 	return m.Up && !m.Lost && now.Sub(m.answered) < workerPatience &&
-		r.Stint == m.Stint && m.reported < r.Tick && r.Tick < m.Tick
+		r.Session == m.Session && m.reported < r.Tick && r.Tick < m.Tick
 }
 
 // Recency tells how a report of a machine that is known stands, and notes one that is late.
@@ -73,7 +73,7 @@
 	if d.older = now; d.since.IsZero() {
 		d.since = now
 	}
-	d.stint, d.addr = r.Stint, r.Addr
+	d.session, d.addr = r.Session, r.Addr
 }
 
 // early says whether a report is from before its worker heard anything of a machine that is in
@@ -122,7 +122,7 @@
 // unlike a report, cannot be a copy of anything from before it was asked.
 type Question struct {
 	Host, Addr string
-	Stint      uint64
+	Session    uint64
 	asked      time.Time
 	body       uint64
 }
@@ -138,9 +138,9 @@
 			continue
 		}
 		d.asked = now
-		q := Question{Host: m.Host, Addr: m.Addr, Stint: m.Stint, asked: now, body: m.body}
+		q := Question{Host: m.Host, Addr: m.Addr, Session: m.Session, asked: now, body: m.body}
 		if behind {
-			q.Addr, q.Stint = d.addr, d.stint
+			q.Addr, q.Session = d.addr, d.session
 		}
 		list = append(list, q)
 	}
@@ -166,7 +166,7 @@
 			return Outcome{Stale: true, Machine: m}, false
 		}
 		m.doubt.anew, anew = true, true
-		m.Stint, m.Tick, m.Baton = r.Stint, max(r.Tick, 1)-1, 0
+		m.Session, m.Tick, m.Baton = r.Session, max(r.Tick, 1)-1, 0
 	}
 	m.doubt.open = time.Time{}
 	out = t.Apply(r, false, now)
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -14,32 +14,32 @@
 	Host, Addr, Type, Zone string
 	Spot                   bool
 
-	Stint, Tick, Baton uint64
-	Rented             time.Time // when its rental was asked for, as far as known
-	Up                 bool      // has reported to us, or answered
-	LastBody           time.Time // when any newer body came in
-	LastAnswer         time.Time // when the last 200 to a report was written
-	Notice             time.Time // when the cloud takes it; zero: no notice
-	Settled            bool      // a body has shown our term
-	Recorded           bool      // the store says that it may hold tasks
-	Recording          bool      // that record is being written
-	Lapsed             bool      // unheard of under our term, and no lease of an earlier one is left
-	Inherited          bool      // was on record when this term began: an earlier one may have used it
-	Returning          bool      // given back; nothing may be sent any more
-	Draining           bool      // takes no new tasks
-	Lost               bool      // silent beyond its lease: its tasks are gone
-	Dead               bool      // the cloud says that it stopped on its own
-	Cordon             any       // the drain that keeps new tasks away, for whoever plans; nil: none
-	Stranger           bool      // first known by a body, which may be a copy from a machine that is gone
-	Version            string    // of its worker; "" where it does not say
-	VersionSince       time.Time // when it was first heard with that version, if it had another before
-	Proven             bool      // a task has completed here since
-	Bad                bool      // fails what others can run
-	FullUntil          time.Time // refused for want of room
-	EmptySince         time.Time
-	Forwarded          time.Time // when a peer last passed a report of it on
-	ForwardedSince     time.Time // since when its reports come that way
-	SilentSince        time.Time
+	Session, Tick, Baton uint64
+	Rented               time.Time // when its rental was asked for, as far as known
+	Up                   bool      // has reported to us, or answered
+	LastBody             time.Time // when any newer body came in
+	LastAnswer           time.Time // when the last 200 to a report was written
+	Notice               time.Time // when the cloud takes it; zero: no notice
+	Settled              bool      // a body has shown our term
+	Recorded             bool      // the store says that it may hold tasks
+	Recording            bool      // that record is being written
+	Lapsed               bool      // unheard of under our term, and no lease of an earlier one is left
+	Inherited            bool      // was on record when this term began: an earlier one may have used it
+	Returning            bool      // given back; nothing may be sent any more
+	Draining             bool      // takes no new tasks
+	Lost                 bool      // silent beyond its lease: its tasks are gone
+	Dead                 bool      // the cloud says that it stopped on its own
+	Cordon               any       // the drain that keeps new tasks away, for whoever plans; nil: none
+	Stranger             bool      // first known by a body, which may be a copy from a machine that is gone
+	Version              string    // of its worker; "" where it does not say
+	VersionSince         time.Time // when it was first heard with that version, if it had another before
+	Proven               bool      // a task has completed here since
+	Bad                  bool      // fails what others can run
+	FullUntil            time.Time // refused for want of room
+	EmptySince           time.Time
+	Forwarded            time.Time // when a peer last passed a report of it on
+	ForwardedSince       time.Time // since when its reports come that way
+	SilentSince          time.Time
 
 	ErrorJobs map[string]int // errors by job since the last success
 	images    []image        // fetched here, the one last used at the end
@@ -241,8 +241,8 @@
 	}
 	m.doubt.since = time.Time{}
 	m.hear(r, isReport, t.Term, now)
-	if m.Up && r.Stint > m.Stint && !(isReport && (m.doubt.anew || m.early(r, t.Term))) {
-		// A new stint: the worker killed and forgot everything.
+	if m.Up && r.Session > m.Session && !(isReport && (m.doubt.anew || m.early(r, t.Term))) {
+		// A new session: the worker killed and forgot everything.
 		for _, a := range slices.Clone(m.order) {
 			if a.state != Planned {
 				out.gone(m, a)
@@ -259,7 +259,7 @@
 		m.Version = r.Version
 	}
 	m.Up, m.Lost, m.LastBody = true, false, now
-	m.Addr, m.Stint, m.Tick = r.Addr, r.Stint, r.Tick
+	m.Addr, m.Session, m.Tick = r.Addr, r.Session, r.Tick
 	if isReport {
 		m.reported = r.Tick
 	} else {
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -23,7 +23,7 @@
 	Type     string       `json:"rig"`
 	Zone     string       `json:"site"`
 	Spot     bool         `json:"loaners"`
-	Stint    uint64       `json:"stint"`
+	Session  uint64       `json:"stint"`
 	Tick     uint64       `json:"tick"`
 	Baton    uint64       `json:"baton"`
 	WarningS *float64     `json:"warning_s"`
@@ -39,7 +39,7 @@
 	switch {
 	case r.Host == "":
 		return errors.New("host is missing")
-	case r.Stint == 0:
+	case r.Session == 0:
 		return errors.New("stint is missing or 0")
 	}
 	for i := range r.Tasks {
@@ -85,9 +85,9 @@
 
 // Direct is the body of a POST /orders.
 type Direct struct {
-	Baton  uint64  `json:"baton"`
-	Stint  uint64  `json:"stint"`
-	Orders []Order `json:"orders"`
+	Baton   uint64  `json:"baton"`
+	Session uint64  `json:"stint"`
+	Orders  []Order `json:"orders"`
 }
 
 // Verbs and causes in the protocol's words.
--- a/internal/fleet/wire_easyjson.go
+++ b/internal/fleet/wire_easyjson.go
@@ -254,7 +254,7 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Stint = uint64(in.Uint64())
+				out.Session = uint64(in.Uint64())
 			}
 		case "tick":
 			if in.IsNull() {
@@ -357,7 +357,7 @@
 	{
 		const prefix string = ",\"stint\":"
 		out.RawString(prefix)
-		out.Uint64(uint64(in.Stint))
+		out.Uint64(uint64(in.Session))
 	}
 	{
 		const prefix string = ",\"tick\":"
--- a/internal/lead/flush.go
+++ b/internal/lead/flush.go
@@ -34,7 +34,7 @@
 		}
 		for {
 			l.mu.Lock()
-			ws := l.rec.Writes(time.Now(), l.oath)
+			ws := l.rec.Writes(time.Now(), l.wholeRecord)
 			l.mu.Unlock()
 			if len(ws) == 0 {
 				break
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -298,7 +298,7 @@
 // is on record: what waits then starts with this answer, and not a report interval
 // later. It says whether the machine's report is still the last we know.
 func (l *Leader) await(m *fleet.Machine, ready func() bool) bool {
-	stint, tick := m.Stint, m.Tick
+	session, tick := m.Session, m.Tick
 	// Others that came in the same bundle wait along.
 	over := time.NewTimer(l.set.Report / 16)
 	defer over.Stop()
@@ -313,7 +313,7 @@
 		}
 		l.mu.Lock()
 	}
-	return l.core.Latest(m, stint, tick) && l.supports(time.Now())
+	return l.core.Latest(m, session, tick) && l.supports(time.Now())
 }
 
 // Unreachable says whether a worker whose report a peer passed on cannot reach
@@ -358,7 +358,7 @@
 func (l *Leader) ask(questions []fleet.Question) {
 	for _, q := range questions {
 		l.workers.Go(func() {
-			_, r, err := l.workers.Orders(q.Addr, fleet.Direct{Baton: l.term, Stint: q.Stint, Orders: []fleet.Order{}})
+			_, r, err := l.workers.Orders(q.Addr, fleet.Direct{Baton: l.term, Session: q.Session, Orders: []fleet.Order{}})
 			if err != nil {
 				return
 			}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -96,7 +96,7 @@
 			l.workers.Go(func() {
 				defer wg.Done()
 				for range 2 {
-					status, r, err := l.workers.Orders(t.Addr, fleet.Direct{Baton: l.term, Stint: t.Stint, Orders: []fleet.Order{}})
+					status, r, err := l.workers.Orders(t.Addr, fleet.Direct{Baton: l.term, Session: t.Session, Orders: []fleet.Order{}})
 					if err != nil {
 						return
 					}
@@ -107,7 +107,7 @@
 					if status == 200 {
 						return
 					}
-					t.Stint = r.Stint
+					t.Session = r.Session
 				}
 			})
 		}
--- a/internal/lead/witness.go
+++ b/internal/lead/witness.go
@@ -100,8 +100,8 @@
 	}), false
 }
 
-// oath returns that record when it is due.
-func (l *Leader) oath(now time.Time) *frontier.Record {
+// wholeRecord returns that record when it is due.
+func (l *Leader) wholeRecord(now time.Time) *frontier.Record {
 	l.contactMu.Lock()
 	defer l.contactMu.Unlock()
 	if !l.word.Whole || now.Sub(l.swore) < l.firm()/swears {
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -98,11 +98,11 @@
 
 // Host is a machine that may hold tasks. Many share a value, by name (Shelf).
 type Host struct {
-	Addr  string `json:"addr"`
-	Type  string `json:"rig"`
-	Zone  string `json:"site"`
-	Spot  bool   `json:"loaners"`
-	Stint uint64 `json:"stint"`
+	Addr    string `json:"addr"`
+	Type    string `json:"rig"`
+	Zone    string `json:"site"`
+	Spot    bool   `json:"loaners"`
+	Session uint64 `json:"stint"`
 }
 
 // MachineType is what the cloud offers.
--- a/internal/standin/shot.go
+++ b/internal/standin/attempt.go
@@ -9,8 +9,8 @@
 	"drumpick/internal/ledger"
 )
 
-// shot is a task on a machine.
-type shot struct {
+// attempt is one start of a task on a machine.
+type attempt struct {
 	task     string
 	id       fleet.TaskID
 	job      ledger.Job
@@ -32,7 +32,7 @@
 	if now.Sub(m.lastSent) > m.w.Lease {
 		m.w.lapses++
 		m.forget(m.lastSent.Add(m.w.Lease))
-		m.stint++
+		m.session++
 		m.lastSent = now
 	}
 	for _, s := range m.tasks {
@@ -55,7 +55,7 @@
 }
 
 // fetched goes on when the image is there.
-func (m *Machine) fetched(s *shot) {
+func (m *Machine) fetched(s *attempt) {
 	now := time.Now()
 	s.since, s.until = now, time.Time{}
 	if m.w.finished[s.id.Job][s.task] {
@@ -83,7 +83,7 @@
 }
 
 // begin lets a task run on from what is safe.
-func (m *Machine) begin(s *shot, now time.Time) {
+func (m *Machine) begin(s *attempt, now time.Time) {
 	s.status, s.since, s.until = "running", now, time.Time{}
 	s.ran = now
 	s.progress = m.w.saved[s.safe()]
@@ -93,7 +93,7 @@
 }
 
 // complete ends a task that is done, and with it its whole gang.
-func (m *Machine) complete(s *shot) {
+func (m *Machine) complete(s *attempt) {
 	if m.w.Fails != nil && m.w.Fails(m, s.task) {
 		m.over(s, fleet.CauseError)
 		return
@@ -118,7 +118,7 @@
 }
 
 // lonely says whether a gang has been without one of its tasks for too long.
-func (m *Machine) lonely(s *shot, now time.Time) bool {
+func (m *Machine) lonely(s *attempt, now time.Time) bool {
 	if m.w.GangPeer == 0 || len(m.w.mates(s)) == s.job.Tasks {
 		s.lacking = time.Time{}
 		return false
@@ -131,11 +131,11 @@
 
 type mate struct {
 	m *Machine
-	s *shot
+	s *attempt
 }
 
 // mates are the tasks of an attempt that are on machines and have not ended.
-func (w *World) mates(s *shot) []mate {
+func (w *World) mates(s *attempt) []mate {
 	var all []mate
 	for x, m := range w.byJob[s.id.Job] {
 		if x.try == s.try && !m.gone && !m.hung {
@@ -146,7 +146,7 @@
 }
 
 // safe names what a task's safe progress is kept under.
-func (s *shot) safe() string {
+func (s *attempt) safe() string {
 	if s.job.Shape == ledger.ShapeGroup {
 		return s.id.Job
 	}
@@ -154,7 +154,7 @@
 }
 
 // at is how far a task has come.
-func (s *shot) at(now time.Time) time.Duration {
+func (s *attempt) at(now time.Time) time.Duration {
 	if s.status != "running" {
 		return s.progress
 	}
@@ -162,7 +162,7 @@
 }
 
 // checkpoint is the progress that a task has saved by itself.
-func (s *shot) checkpoint(now time.Time) time.Duration {
+func (s *attempt) checkpoint(now time.Time) time.Duration {
 	if s.job.CheckpointS <= 0 {
 		return 0
 	}
@@ -170,7 +170,7 @@
 	return time.Duration(math.Floor(s.at(now).Seconds()/every) * every * float64(time.Second))
 }
 
-func (w *World) saveProgress(s *shot, to time.Duration) {
+func (w *World) saveProgress(s *attempt, to time.Duration) {
 	w.saved[s.safe()] = max(w.saved[s.safe()], to)
 }
 
@@ -197,7 +197,7 @@
 }
 
 // kill stops a task, which saves where it can and is given the time.
-func (m *Machine) kill(s *shot, o fleet.Order) {
+func (m *Machine) kill(s *attempt, o fleet.Order) {
 	now, grace := time.Now(), 0.0
 	if o.WindDownS != nil {
 		grace = *o.WindDownS
@@ -225,7 +225,7 @@
 	id, _ := fleet.ParseTask(o.Shot)
 	now := time.Now()
 	job, ok := w.Jobs(id.Job)
-	s := &shot{task: o.Shot, id: id, job: job, try: o.Try, began: now, since: now, status: "pulling"}
+	s := &attempt{task: o.Shot, id: id, job: job, try: o.Try, began: now, since: now, status: "pulling"}
 	m.tasks[k] = s
 	cpus, mem := job.CPUs, job.MemGB
 	for _, x := range m.tasks {
@@ -245,7 +245,7 @@
 		return
 	}
 	if w.byJob[id.Job] == nil {
-		w.byJob[id.Job] = map[*shot]*Machine{}
+		w.byJob[id.Job] = map[*attempt]*Machine{}
 	}
 	w.byJob[id.Job][s] = m
 	w.starts++
--- a/internal/standin/idle_test.go
+++ b/internal/standin/idle_test.go
@@ -193,7 +193,7 @@
 				}
 				time.Sleep(2 * time.Second)
 				if x.busy > 0 {
-					_, _, _ = w.Orders("m-000001", fleet.Direct{Baton: 1, Stint: 1, Orders: []fleet.Order{{Verb: fleet.VerbRun, Shot: "j-0/0", Try: 1}}})
+					_, _, _ = w.Orders("m-000001", fleet.Direct{Baton: 1, Session: 1, Orders: []fleet.Order{{Verb: fleet.VerbRun, Shot: "j-0/0", Try: 1}}})
 				}
 				w.Submitted("j-1", 201, time.Now())
 				idle := &idler{w: w}
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -28,11 +28,11 @@
 	mute     bool // it reaches no controller, and direct commands reach it
 	starts   int  // of its worker, beyond the first
 	notice   time.Time
-	stint    uint64
+	session  uint64
 	tick     uint64
 	baton    uint64
 	lastSent time.Time // when the last answered report was sent
-	tasks    map[string]*shot
+	tasks    map[string]*attempt
 	images   map[string]time.Time // when each is there
 	close    func()
 	poke     chan struct{}
@@ -40,8 +40,8 @@
 
 func newMachine(w *World, host string, r rental.Request) *Machine {
 	m := &Machine{
-		w: w, Host: host, Zone: r.Zone, Spot: r.Spot, addr: host, rented: time.Now(), stint: 1, typ: w.Types[0], Version: w.Version,
-		tasks: map[string]*shot{}, images: map[string]time.Time{}, close: func() {}, poke: make(chan struct{}, 1),
+		w: w, Host: host, Zone: r.Zone, Spot: r.Spot, addr: host, rented: time.Now(), session: 1, typ: w.Types[0], Version: w.Version,
+		tasks: map[string]*attempt{}, images: map[string]time.Time{}, close: func() {}, poke: make(chan struct{}, 1),
 	}
 	for _, t := range w.Types {
 		if t.Name == r.Type {
@@ -93,10 +93,10 @@
 }
 
 // over ends a task.
-func (m *Machine) over(s *shot, cause string) { m.overAt(s, cause, time.Now()) }
+func (m *Machine) over(s *attempt, cause string) { m.overAt(s, cause, time.Now()) }
 
 // overAt ends a task that was over at a time.
-func (m *Machine) overAt(s *shot, cause string, at time.Time) {
+func (m *Machine) overAt(s *attempt, cause string, at time.Time) {
 	if cause != fleet.CauseDone && s.job.Shape != ledger.ShapeService {
 		m.w.wasted += max(s.at(time.Now())-m.w.saved[s.safe()], 0)
 	}
@@ -159,7 +159,7 @@
 func (m *Machine) Reboot() {
 	m.w.mu.Lock()
 	m.forget(time.Now())
-	m.stint, m.tick, m.baton, m.lastSent = 1, 0, 0, time.Now()
+	m.session, m.tick, m.baton, m.lastSent = 1, 0, 0, time.Now()
 	m.starts++
 	m.w.mu.Unlock()
 	m.wake()
@@ -192,7 +192,7 @@
 	if m.unreachable() || m.deaf {
 		return 0, nil, errSilent
 	}
-	if d.Baton < m.baton || d.Stint != m.stint {
+	if d.Baton < m.baton || d.Session != m.session {
 		return 409, m.body(), nil
 	}
 	m.baton = max(m.baton, d.Baton)
@@ -216,7 +216,7 @@
 	m.tick++
 	r := &fleet.Report{
 		Host: m.Host, Addr: m.addr, Type: m.typ.Name, Zone: m.Zone, Spot: m.Spot,
-		Stint: m.stint, Tick: m.tick, Baton: m.baton, Version: m.Version,
+		Session: m.session, Tick: m.tick, Baton: m.baton, Version: m.Version,
 	}
 	if !m.notice.IsZero() {
 		left := time.Until(m.notice).Seconds()
@@ -306,7 +306,7 @@
 			}
 			w.mu.Lock()
 			switch {
-			case status == 200 && r.Stint == m.stint && resp.Baton >= m.baton && !m.gone && !m.hung && time.Since(sent) < 2*w.Every:
+			case status == 200 && r.Session == m.session && resp.Baton >= m.baton && !m.gone && !m.hung && time.Since(sent) < 2*w.Every:
 				m.baton = resp.Baton
 				m.lastSent = sent
 				m.execute(resp.Orders)
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -131,7 +131,7 @@
 				}
 				time.Sleep(2 * time.Second)
 				breaks(w, func(host, task string, try uint64) {
-					_, _, err := w.Orders(host, fleet.Direct{Baton: 1, Stint: 1, Orders: []fleet.Order{{Verb: fleet.VerbRun, Shot: task, Try: try}}})
+					_, _, err := w.Orders(host, fleet.Direct{Baton: 1, Session: 1, Orders: []fleet.Order{{Verb: fleet.VerbRun, Shot: task, Try: try}}})
 					if err != nil {
 						t.Error(err)
 					}
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -190,7 +190,7 @@
 	}
 	app.Post("/orders", func(c *fiber.Ctx) error {
 		var d fleet.Direct
-		if json.Unmarshal(c.Body(), &d) != nil || d.Stint == 0 {
+		if json.Unmarshal(c.Body(), &d) != nil || d.Session == 0 {
 			return c.Status(400).JSON(failure{"baton or stint is missing"})
 		}
 		m := at(c)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -53,14 +53,14 @@
 	bookings  map[string][]string
 	machines  map[string]*Machine
 	cancelled map[string]time.Time
-	asked     map[string]bool               // users have asked to cancel them, answered or not
-	accepted  map[string]time.Time          // when a user was first told so
-	final     map[string]fate               // the final state that a user was told
-	finished  map[string]map[string]bool    // tasks that have completed, by job
-	saved     map[string]time.Duration      // progress that is safe, by task or, of gangs, by job
-	cut       map[string]bool               // zones that nobody reaches
-	closed    map[string]bool               // zones that no direct commands reach
-	byJob     map[string]map[*shot]*Machine // tasks that have not ended
+	asked     map[string]bool                  // users have asked to cancel them, answered or not
+	accepted  map[string]time.Time             // when a user was first told so
+	final     map[string]fate                  // the final state that a user was told
+	finished  map[string]map[string]bool       // tasks that have completed, by job
+	saved     map[string]time.Duration         // progress that is safe, by task or, of gangs, by job
+	cut       map[string]bool                  // zones that nobody reaches
+	closed    map[string]bool                  // zones that no direct commands reach
+	byJob     map[string]map[*attempt]*Machine // tasks that have not ended
 	ran       []Ran
 	bills     []Bill
 	starts    int
@@ -100,7 +100,7 @@
 		ctx: ctx, bookings: map[string][]string{}, machines: map[string]*Machine{},
 		cancelled: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]time.Time{}, final: map[string]fate{}, finished: map[string]map[string]bool{},
 		saved: map[string]time.Duration{}, cut: map[string]bool{}, closed: map[string]bool{},
-		byJob: map[string]map[*shot]*Machine{},
+		byJob: map[string]map[*attempt]*Machine{},
 	}
 }
 
@@ -317,7 +317,7 @@
 	}
 	m.forget(time.Now())
 	m.Version = version
-	m.stint++
+	m.session++
 	m.lastSent = time.Now()
 	m.wake()
 	return true
--- a/internal/workers/caller_test.go
+++ b/internal/workers/caller_test.go
@@ -26,7 +26,7 @@
 	c := NewCaller(2, 5*time.Second)
 	addr := strings.TrimPrefix(srv.URL, "http://")
 	grace := 4.0
-	d := fleet.Direct{Baton: 41, Stint: 1, Orders: []fleet.Order{{Verb: fleet.VerbKill, Shot: "j-1/0", Try: 2, WindDownS: &grace}}}
+	d := fleet.Direct{Baton: 41, Session: 1, Orders: []fleet.Order{{Verb: fleet.VerbKill, Shot: "j-1/0", Try: 2, WindDownS: &grace}}}
 	for _, x := range []struct {
 		status int
 		body   string
