--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -186,6 +186,23 @@
 			return err
 		}
 	}
+	if err := c.checkSeeds(); err != nil {
+		return err
+	}
+	if c.Facts.Nodes == 0 {
+		c.Facts.Nodes = len(c.Seeds) + 1
+	}
+	if len(c.Facts.Zones) == 0 {
+		return errors.New("facts.zones is missing")
+	}
+	if err := c.Facts.checkFigures(); err != nil {
+		return err
+	}
+	return c.Facts.checkTeams()
+}
+
+// checkSeeds checks the other controllers.
+func (c *Config) checkSeeds() error {
 	names := map[string]bool{c.Node: true}
 	for i, s := range c.Seeds {
 		if s.Node == "" {
@@ -199,13 +216,11 @@
 			return err
 		}
 	}
-	f := c.Facts
-	if f.Nodes == 0 {
-		f.Nodes, c.Facts.Nodes = len(c.Seeds)+1, len(c.Seeds)+1
-	}
-	if len(f.Zones) == 0 {
-		return errors.New("facts.zones is missing")
-	}
+	return nil
+}
+
+// checkFigures checks that all figures are within their ranges, and go together.
+func (f *Facts) checkFigures() error {
 	type figure struct {
 		field    string
 		v        float64
@@ -256,6 +271,11 @@
 	if f.Workers.CancelS <= f.Workers.LeaseS {
 		return fmt.Errorf("facts.workers.cancel_s (%v) must exceed facts.workers.lease_s (%v)", f.Workers.CancelS, f.Workers.LeaseS)
 	}
+	return nil
+}
+
+// checkTeams checks the teams.
+func (f *Facts) checkTeams() error {
 	teams := map[string]bool{}
 	for i, t := range f.Teams {
 		if t.Name == "" || teams[t.Name] {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -249,15 +249,41 @@
 			}
 		}
 	}
-	if m.Version != r.Version && r.Version != "" {
-		if m.Up {
-			// What was wrong with it may have been the version.
-			m.VersionSince, m.Proven, m.Bad, m.Draining = now, false, false, false
-			clear(m.ErrorJobs)
-			out.Upgraded = true
+	out.Upgraded = m.takeVersion(r.Version, now)
+	m.takeState(r, isReport, now)
+	out.Settled = m.settle(r, isReport, t.Term)
+	m.body++
+	for i := range r.Tasks {
+		m.takeTask(&r.Tasks[i], &out, now)
+	}
+	for i := 0; i < len(m.order); i++ {
+		a := m.order[i]
+		if a.body == m.body || !t.missing(m, a, r, isReport, now) {
+			continue
 		}
-		m.Version = r.Version
+		out.gone(m, a)
+		i--
 	}
+	return out
+}
+
+// takeVersion takes in which version a worker has, and says whether it had another before.
+func (m *Machine) takeVersion(version string, now time.Time) (upgraded bool) {
+	if m.Version == version || version == "" {
+		return false
+	}
+	if m.Up {
+		// What was wrong with it may have been the version.
+		m.VersionSince, m.Proven, m.Bad, m.Draining = now, false, false, false
+		clear(m.ErrorJobs)
+		upgraded = true
+	}
+	m.Version = version
+	return upgraded
+}
+
+// takeState takes in what a body says of the machine itself.
+func (m *Machine) takeState(r *Report, isReport bool, now time.Time) {
 	m.Up, m.Lost, m.LastBody = true, false, now
 	m.Addr, m.Session, m.Tick = r.Addr, r.Session, r.Tick
 	if isReport {
@@ -266,67 +292,64 @@
 		m.answered = now
 	}
 	m.Baton = max(m.Baton, r.Baton)
-	// A worker that reports and has seen no token yet has never obeyed anyone; where
-	// the store has no record of it either, no earlier leader can have sent it a run
-	// that is still under way. On record, a late report of its first days would say
-	// the same.
-	// Nor may it be a machine that nobody knew of: then it may be a copy of the first report
-	// of one that an earlier leader gave back.
-	fresh := isReport && r.Baton == 0 && !m.Inherited && !m.Stranger && len(r.Tasks) == 0
-	if (r.Baton == t.Term || fresh) && !m.Settled {
-		m.Settled, out.Settled = true, true
-	}
 	m.Notice = time.Time{}
 	if r.WarningS != nil {
 		m.Notice = now.Add(time.Duration(*r.WarningS * float64(time.Second)))
 	}
-	m.body++
-	for i := range r.Tasks {
-		tr := &r.Tasks[i]
-		task, _ := ParseTask(tr.Shot)
-		st, _ := parseState(tr.Status)
-		a := m.attempt(task, tr.Try)
-		if a == nil {
-			a = &Attempt{Task: task, Try: tr.Try, Machine: m, Since: now, state: st, Cause: tr.Cause, Saved: tr.Saved, body: m.body}
-			m.list(a)
-			if st == Running {
-				a.RunSince = now
-				out.Running = append(out.Running, a)
-			}
-			out.New = append(out.New, a)
-			out.Changed = true
-			continue
-		}
-		a.body = m.body
-		if a.state == Ended {
-			continue
+}
+
+// settle notes whether a body shows the term, and says whether it is the first that does.
+//
+// A worker that reports and has seen no token yet has never obeyed anyone; where
+// the store has no record of it either, no earlier leader can have sent it a run
+// that is still under way. On record, a late report of its first days would say
+// the same. Nor may it be a machine that nobody knew of: then it may be a copy of the first
+// report of one that an earlier leader gave back.
+func (m *Machine) settle(r *Report, isReport bool, term uint64) bool {
+	fresh := isReport && r.Baton == 0 && !m.Inherited && !m.Stranger && len(r.Tasks) == 0
+	if m.Settled || r.Baton != term && !fresh {
+		return false
+	}
+	m.Settled = true
+	return true
+}
+
+// takeTask takes in what a body says of one attempt.
+func (m *Machine) takeTask(r *TaskReport, out *Outcome, now time.Time) {
+	task, _ := ParseTask(r.Shot)
+	state, _ := parseState(r.Status)
+	a := m.attempt(task, r.Try)
+	if a == nil {
+		a = &Attempt{Task: task, Try: r.Try, Machine: m, Since: now, state: state, Cause: r.Cause, Saved: r.Saved, body: m.body}
+		m.list(a)
+		if state == Running {
+			a.RunSince = now
+			out.Running = append(out.Running, a)
 		}
-		if a.state != st {
-			out.Changed = true
-			if (st == Running || st == Waiting) && a.ReadySince.IsZero() {
-				a.ReadySince = now
-			}
-			if st == Running && a.RunSince.IsZero() {
-				a.RunSince = now
-				out.Running = append(out.Running, a)
-			}
+		out.New = append(out.New, a)
+		out.Changed = true
+		return
+	}
+	a.body = m.body
+	if a.state == Ended {
+		return
+	}
+	if a.state != state {
+		out.Changed = true
+		if (state == Running || state == Waiting) && a.ReadySince.IsZero() {
+			a.ReadySince = now
 		}
-		a.Cause, a.Saved = tr.Cause, tr.Saved
-		a.setState(st)
-		if st == Ended {
-			m.free(a)
-			out.Ended = append(out.Ended, a)
+		if state == Running && a.RunSince.IsZero() {
+			a.RunSince = now
+			out.Running = append(out.Running, a)
 		}
 	}
-	for i := 0; i < len(m.order); i++ {
-		a := m.order[i]
-		if a.body == m.body || !t.missing(m, a, r, isReport, now) {
-			continue
-		}
-		out.gone(m, a)
-		i--
+	a.Cause, a.Saved = r.Cause, r.Saved
+	a.setState(state)
+	if state == Ended {
+		m.free(a)
+		out.Ended = append(out.Ended, a)
 	}
-	return out
 }
 
 func (o *Outcome) gone(m *Machine, a *Attempt) {
--- a/internal/lead/flush.go
+++ b/internal/lead/flush.go
@@ -60,86 +60,25 @@
 		if l.store.WaitBatch(ctx, ops) != nil {
 			return false
 		}
-		when := l.mine()
-		var all []ledger.Op
-		seen := map[string]bool{}
-		for _, w := range ws {
-			all = append(all, w.Ops...)
-			conds := w.When
-			if w.Own != nil {
-				conds = []ledger.Cond{{Key: w.Key, Stamp: *w.Own}}
-			}
-			for _, c := range conds {
-				if !seen[c.Key] {
-					seen[c.Key] = true
-					when = append(when, c)
-				}
-			}
-		}
+		when, all := l.transaction(ws)
 		stamp, err := l.store.Commit(ctx, when, all)
 		var conflict *ledger.ConflictError
 		switch {
 		case err == nil:
-			l.mu.Lock()
-			for _, w := range ws {
-				if w.Own != nil {
-					if *w.Own = stamp; w.Ops[0].Delete != "" {
-						*w.Own = 0
-					}
-				}
-				w.Apply(stamp)
-			}
-			close(l.logged)
-			l.logged = make(chan struct{})
-			l.mu.Unlock()
-			l.led(stamp)
+			l.stored(ws, stamp)
 			return true
 		case errors.As(err, &conflict):
-			if slices.Contains(conflict.Failed, ledger.KeyLeader) {
-				slog.Info("deposed", "term", l.term)
-				l.tenure.Resign()
-				return false
-			}
-			var rest []dispatch.Write
-			ours := false
-			for _, w := range ws {
-				switch failed := w.Key != "" && slices.Contains(conflict.Failed, w.Key); {
-				case failed && w.Own != nil:
-					ours = true
-					in, err := l.reconcile(ctx, w)
-					if err != nil {
-						return false
-					}
-					if !in {
-						rest = append(rest, w)
-					}
-				case failed:
-					ours = true
-					l.mu.Lock()
-					w.Lost()
-					l.mu.Unlock()
-				default:
-					rest = append(rest, w)
-				}
-			}
-			if !ours {
-				slog.Error("store: conflict over nothing of ours", "failed", strings.Join(conflict.Failed, " "))
-			}
-			if ws = rest; len(ws) == 0 {
-				return true
+			rest, ok := l.resolveConflict(ctx, ws, conflict)
+			if !ok || len(rest) == 0 {
+				return ok
 			}
+			ws = rest
 		case errors.Is(err, ledger.ErrInvalid):
 			return l.split(ctx, ws, err)
 		default:
 			slog.Debug("store: commit failed", "err", err)
 			if !errors.Is(err, ledger.ErrRefused) && !errors.Is(err, ledger.ErrThrottled) {
-				l.mu.Lock()
-				for _, w := range ws {
-					if w.Own != nil && *w.Own == 0 && w.Late != nil {
-						w.Late()
-					}
-				}
-				l.mu.Unlock()
+				l.unanswered(ws)
 			}
 		}
 		if link.Sleep(ctx, pause/2+rand.N(pause)) != nil {
@@ -149,6 +88,89 @@
 	}
 }
 
+// transaction puts writes together, with the conditions under which all of them stand.
+func (l *Leader) transaction(ws []dispatch.Write) (when []ledger.Cond, ops []ledger.Op) {
+	when = l.mine()
+	seen := map[string]bool{}
+	for _, w := range ws {
+		ops = append(ops, w.Ops...)
+		conds := w.When
+		if w.Own != nil {
+			conds = []ledger.Cond{{Key: w.Key, Stamp: *w.Own}}
+		}
+		for _, c := range conds {
+			if !seen[c.Key] {
+				seen[c.Key] = true
+				when = append(when, c)
+			}
+		}
+	}
+	return when, ops
+}
+
+// stored takes in that writes are in the store, at a revision.
+func (l *Leader) stored(ws []dispatch.Write, stamp uint64) {
+	l.mu.Lock()
+	for _, w := range ws {
+		if w.Own != nil {
+			if *w.Own = stamp; w.Ops[0].Delete != "" {
+				*w.Own = 0
+			}
+		}
+		w.Apply(stamp)
+	}
+	close(l.logged)
+	l.logged = make(chan struct{})
+	l.mu.Unlock()
+	l.led(stamp)
+}
+
+// resolveConflict finds out which writes of a transaction that failed are to be tried again; not ok: the term is
+// over, or the store does not tell.
+func (l *Leader) resolveConflict(ctx context.Context, ws []dispatch.Write, conflict *ledger.ConflictError) (rest []dispatch.Write, ok bool) {
+	if slices.Contains(conflict.Failed, ledger.KeyLeader) {
+		slog.Info("deposed", "term", l.term)
+		l.tenure.Resign()
+		return nil, false
+	}
+	ours := false
+	for _, w := range ws {
+		switch failed := w.Key != "" && slices.Contains(conflict.Failed, w.Key); {
+		case failed && w.Own != nil:
+			ours = true
+			in, err := l.reconcile(ctx, w)
+			if err != nil {
+				return nil, false
+			}
+			if !in {
+				rest = append(rest, w)
+			}
+		case failed:
+			ours = true
+			l.mu.Lock()
+			w.Lost()
+			l.mu.Unlock()
+		default:
+			rest = append(rest, w)
+		}
+	}
+	if !ours {
+		slog.Error("store: conflict over nothing of ours", "failed", strings.Join(conflict.Failed, " "))
+	}
+	return rest, true
+}
+
+// unanswered takes in that writes may yet be carried out.
+func (l *Leader) unanswered(ws []dispatch.Write) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range ws {
+		if w.Own != nil && *w.Own == 0 && w.Late != nil {
+			w.Late()
+		}
+	}
+}
+
 // reconcile reads a key that only the leader writes and that is not at the revision where it
 // was known to be: mostly the write itself was carried out, and its answer lost. in says so;
 // otherwise it is repeated on what is there now.
