--- a/internal/packing/packing.go
+++ b/internal/packing/packing.go
@@ -92,6 +92,8 @@
 	open  bool
 	used  Vec
 	owed  Vec // room that is spoken for by items that are not here yet
+	free  Vec // what that leaves
+	gap   float64
 	items []*Item
 	count [4]int
 	marks []string
@@ -102,7 +104,11 @@
 }
 
 // NewBin returns an empty bin that takes items.
-func NewBin(id string, capacity Vec) *Bin { return &Bin{ID: id, Cap: capacity, open: true} }
+func NewBin(id string, capacity Vec) *Bin {
+	b := &Bin{ID: id, Cap: capacity, open: true}
+	b.moved()
+	return b
+}
 
 // Open says whether the bin may take items.
 func (b *Bin) Open() bool { return b.open }
@@ -176,10 +182,10 @@
 func (b *Bin) Owed() Vec { return b.owed }
 
 // Fits says whether an amount fits in every dimension beside what is set aside.
-func (b *Bin) Fits(req Vec) bool { return b.Cap.Sub(b.used).Sub(b.owed).Fits(req) }
+func (b *Bin) Fits(req Vec) bool { return b.free.Fits(req) }
 
 // Gap is the space left in the fullest dimension (Definition 1).
-func (b *Bin) Gap() float64 { return 1 - b.Cap.Share(b.used.Add(b.owed)) }
+func (b *Bin) Gap() float64 { return b.gap }
 
 // Hot says whether the bin holds, or is predicted to use, more than it has.
 func (b *Bin) Hot() bool { return b.Cap.Share(b.used) > 1+eps || b.Load > 1+eps }
--- a/internal/packing/space.go
+++ b/internal/packing/space.go
@@ -190,6 +190,7 @@
 
 // moved notes that what a bin holds has changed.
 func (b *Bin) moved() {
+	b.free, b.gap = b.Cap.Sub(b.used).Sub(b.owed), 1-b.Cap.Share(b.used.Add(b.owed))
 	if b.space == nil {
 		return
 	}
