--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -7,9 +7,8 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"runtime"
-	"strings"
+	"runtime/debug"
 	"time"
 
 	"drumpick/internal/config"
@@ -247,11 +246,23 @@
 	return all
 }
 
-// sources names the commit of the sources here; "unknown" where that can't be told.
+// sources names the commit that this program was built from; "unknown" where the build does not tell.
 func sources() string {
-	out, err := exec.Command("git", "describe", "--always", "--dirty").Output()
-	if err != nil {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
 		return "unknown"
 	}
-	return strings.TrimSpace(string(out))
+	commit, changed := "unknown", ""
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			commit = setting.Value[:min(len(setting.Value), shortCommit)]
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			changed = ", changed"
+		}
+	}
+	return commit + changed
 }
+
+// shortCommit is how much of a commit's name is told.
+const shortCommit = 8
