--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -63,6 +63,21 @@
 	}
 }
 
+// checkKept compares what is kept as events come with a look at all jobs: who may have tasks to start, and who is
+// complete.
+func checkKept(t *rapid.T, c *Core, after string) {
+	for i, turn := range c.order.turns {
+		if !turn.j.over && !turn.j.idle() && c.order.awake.next(i) != i {
+			t.Fatalf("after %s: %s has tasks to start, and is passed over", after, turn.j.ID)
+		}
+	}
+	for _, j := range c.jobs {
+		if _, kept := c.complete[j]; kept != (j.nDone == j.Tasks) {
+			t.Fatalf("after %s: %s has %d of %d tasks done, and is taken for complete: %v", after, j.ID, j.nDone, j.Tasks, kept)
+		}
+	}
+}
+
 // usageStory plays random events to a core, with workers that obey it.
 type usageStory struct {
 	*fakeFleet
@@ -230,7 +245,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := newUsageStory(t)
 		for range rapid.IntRange(20, 200).Draw(t, "events") {
-			checkUsage(t, s.c, s.event())
+			event := s.event()
+			checkUsage(t, s.c, event)
+			checkKept(t, s.c, event)
 		}
 		for _, m := range s.c.fleet.Sorted() {
 			s.c.DropMachine(m.Host, s.now)
