--- a/internal/scale/check.go
+++ b/internal/scale/check.go
@@ -176,6 +176,8 @@
 	var all []Breach
 	for _, f := range j.Finals {
 		switch {
+		case f.Status == client.Pending || f.Status == client.Running:
+			all = append(all, Breach{"unfinished", fmt.Sprintf("%s is still %s at %s at the end", j.ID, f.Status, f.Controller)})
 		case f.Status != client.Done && f.Status != client.Cancelled:
 			all = append(all, Breach{"forgotten", fmt.Sprintf("%s is %q at %s at the end", j.ID, f.Status, f.Controller)})
 		case f.Status != j.Finals[0].Status:
--- a/internal/scale/check_test.go
+++ b/internal/scale/check_test.go
@@ -44,6 +44,7 @@
 		{"started_cancelled", func(h *History) { h.Ran[3].From = h.Ran[3].From.Add(6 * time.Second); h.Ran[3].To = h.Ran[3].From }},
 		{"quota", func(h *History) { h.Limits[0]["a"] = 1.5 }},
 		{"forgotten", func(h *History) { h.Jobs["j-1"].Finals[1].Status = "not found" }},
+		{"unfinished", func(h *History) { h.Jobs["j-1"].Finals[1].Status = client.Running }},
 		{"went_back", func(h *History) { h.Jobs["j-2"].Finals[0].Status = client.Done; h.Jobs["j-2"].Tasks = 0 }},
 		{"went_back", func(h *History) { h.Jobs["j-2"].Withdrawn = false }},
 		{"not_done", func(h *History) { h.Ran[2].Cause = "lost" }},
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -234,7 +234,7 @@
 // place starts a rented machine and waits until it takes commands.
 func (h *Hollow) place(p Placement) (Placed, error) {
 	m := h.world.Host(p.Host, p.Rent)
-	for {
+	for until := time.Now().Add(askTime); time.Now().Before(until); {
 		if addr := m.Addr(); addr != "" {
 			return Placed{addr}, nil
 		}
@@ -242,6 +242,8 @@
 			return Placed{}, err
 		}
 	}
+	m.Die()
+	return Placed{}, fmt.Errorf("machine %s does not come up", p.Host)
 }
 
 func (h *Hollow) counts() WorkerCounts {
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -35,6 +35,7 @@
 
 // users submit the load of a run, follow their jobs, and cancel some.
 type users struct {
+	ctx   context.Context // ends with the run: nobody asks the next one's controllers
 	size  Size
 	cells []*cell
 	rand  *rand.Rand
@@ -50,9 +51,9 @@
 	unanswered                  int // submissions that nobody took in time
 }
 
-func newUsers(size Size, cells []*cell) *users {
+func newUsers(ctx context.Context, size Size, cells []*cell) *users {
 	return &users{
-		size: size, cells: cells, rand: rand.New(rand.NewPCG(uint64(size.Workers), uint64(size.Tasks))),
+		ctx: ctx, size: size, cells: cells, rand: rand.New(rand.NewPCG(uint64(size.Workers), uint64(size.Tasks))),
 		jobs: map[string]*UserJob{}, open: map[string]bool{}, busy: make(chan struct{}, mostRequests),
 	}
 }
@@ -158,7 +159,7 @@
 	u.mu.Lock()
 	j.Withdrawn = true
 	u.mu.Unlock()
-	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	ctx, stop := context.WithTimeout(u.ctx, time.Minute)
 	defer stop()
 	st, err := u.cells[j.Region].users.Cancel(ctx, j.ID)
 	u.cancels.add(0, answerBytes)
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -68,8 +68,10 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, end := context.WithCancel(ctx)
 	r := &run{size: size, meter: newMeter(), log: log}
 	defer func() {
+		end()
 		for _, c := range r.cells {
 			err = errors.Join(err, c.close())
 		}
@@ -82,7 +84,7 @@
 		}
 		r.cells = append(r.cells, c)
 	}
-	r.users = newUsers(size, r.cells)
+	r.users = newUsers(ctx, size, r.cells)
 	return r.play(ctx)
 }
 
