Review case 3: a field in other case takes the place of a job's id

Cause: submissions are decoded with encoding/json, which matches members without regard to case, so that a field which the protocol doesn't have replaces a known one.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 
 var trials = map[string]trial{
 	"many-small-tasks": manySmallTasks,
+	"unknown-field":    unknownField,
 	"pipeline":         pipeline,
 }
 
