--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -108,6 +108,7 @@
 type node struct {
 	name, zone, user, peer, config string
 	cmd                            *exec.Cmd
+	gone                           chan struct{} // closed when the process has ended
 }
 
 // deployment is a store, a cloud with its workers, and three controllers.
@@ -126,6 +127,7 @@
 	present     map[string]string // by task, the machine that it is on
 	starts      int
 	leasesEnded int
+	stopped     bool
 	maxReport   int
 	maxResponse int
 }
@@ -219,9 +221,19 @@
 	n.cmd.Env = append(os.Environ(), "LOG_LEVEL="+logLevel())
 	n.cmd.Stderr = logFile
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		return errors.New("the case is over")
+	}
 	if err := n.cmd.Start(); err != nil {
 		return err
 	}
+	n.gone = make(chan struct{})
+	go func(cmd *exec.Cmd, gone chan struct{}) {
+		_ = cmd.Wait()
+		close(gone)
+	}(n.cmd, n.gone)
 	d.rec.line("%s: started, users at %s", n.name, n.user)
 	return nil
 }
@@ -235,10 +247,13 @@
 
 // stop ends all processes and adds the controllers' logs to the record.
 func (d *deployment) stop() {
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
 	for _, n := range d.nodes {
-		if n.cmd != nil && n.cmd.Process != nil {
+		if n.gone != nil {
 			_ = n.cmd.Process.Kill()
-			_ = n.cmd.Wait()
+			<-n.gone
 		}
 		if raw, err := os.ReadFile(filepath.Join(d.dir, n.name+".log")); err == nil {
 			d.rec.line("log of %s:\n%s", n.name, raw)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,8 +23,8 @@
 
 var trials = map[string]trial{
 	"many-small-tasks": manySmallTasks,
-	"unknown-field":    unknownField,
 	"pipeline":         pipeline,
+	"drain-plan":       drainPlan,
 }
 
 func main() { os.Exit(run()) }
