Cut the pages of a drain plan by their encoded size

Cause: PreviewDrainPage cut a page by a number of tasks. After a first machine with at least that many tasks the remaining number was -1, and the next machine's tasks were cut to [:-1].

Change: the scheduler returns the whole plan, and the operators' API cuts it by encoded size (messagesize.Max, the protocol's 64 KiB), outside of the scheduler and its lock. A page could exceed the limit before, with long classes; the totals by class are bounded as well.

Test: TestDrainPlanOfFullMachinesIsPaged (real scheduler, all pages). On the code before it ends with "panic: runtime error: slice bounds out of range [:-1]" in scheduler.PreviewDrainPage.

--- a/internal/leader/drains.go
+++ b/internal/leader/drains.go
@@ -84,13 +84,11 @@
 	return revision, nil
 }
 
-// PreviewDrain returns the expected effect of a drain that starts now: its totals, and a page of
-// machines whose names sort after since, with up to limit machines and tasks together, but at least
-// one machine.
-func (l *Leader) PreviewDrain(spec *drain.Spec, force bool, since string, limit int) (*drain.Plan, error) {
+// PreviewDrain returns the expected effect of a drain that starts now, on all selected machines.
+func (l *Leader) PreviewDrain(spec *drain.Spec, force bool) (*drain.Plan, error) {
 	l.state.mu.Lock()
 	defer l.state.mu.Unlock()
-	return l.state.scheduler.PreviewDrainPage(spec, force, since, limit, time.Now())
+	return l.state.scheduler.PreviewDrain(spec, force, time.Now())
 }
 
 // Drain returns a drain with its state; ok is false if no drain has the id.
--- /dev/null
+++ b/internal/messagesize/messagesize.go
@@ -0,0 +1,33 @@
+// Package messagesize bounds the encoded size of messages to users, workers and operators.
+package messagesize
+
+import (
+	"encoding/json"
+	"math"
+)
+
+// Max is the protocol's limit, in bytes, on a request body and on a line of a response. A response body
+// is a single line.
+const Max = 64 << 10
+
+// Of returns the size of a value's JSON encoding in bytes; math.MaxInt if it cannot be encoded.
+func Of(value any) int {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return math.MaxInt
+	}
+	return len(raw)
+}
+
+// FitPrefix returns the number of items at the start of a list whose JSON encodings, each with a
+// separator, take at most budget bytes together. It encodes no item beyond the first that does not fit.
+func FitPrefix[T any](items []T, budget int) int {
+	for i := range items {
+		size := Of(items[i])
+		if size >= budget {
+			return i
+		}
+		budget -= size + len(",")
+	}
+	return len(items)
+}
--- a/internal/operator/drain_plan.go
+++ b/internal/operator/drain_plan.go
@@ -3,18 +3,18 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
 
+	"drumpick/internal/drain"
+	"drumpick/internal/messagesize"
 	"drumpick/internal/peer"
 	"drumpick/internal/scheduler"
 
 	"github.com/gofiber/fiber/v2"
 )
 
-// tasksPerPage is the maximum number of machines and tasks together in a page of a plan, which
-// keeps the page below the limit of 64 KiB. Further machines follow in further pages. Tasks of one
-// machine beyond the limit are only counted; the totals in each page cover all tasks.
-const tasksPerPage = 250
-
 // statusDrainUnread is the status of the leader's reply to a plan request if the leader has not yet
 // read a stored drain that the plan must take into account.
 const statusDrainUnread = fiber.StatusTooEarly
@@ -39,7 +39,7 @@
 			return errorResponse(statusDrainUnread, "the leader has not read the drain "+id)
 		}
 	}
-	plan, err := l.PreviewDrain(&request.Spec, request.Force, request.Since, tasksPerPage)
+	plan, err := l.PreviewDrain(&request.Spec, request.Force)
 	var targetErr *scheduler.DrainTargetError
 	var refusedErr *scheduler.DrainRefusedError
 	switch {
@@ -50,5 +50,59 @@
 	case err != nil:
 		return errorResponse(fiber.StatusServiceUnavailable, err.Error())
 	}
+	cutToPage(plan, request.Since)
 	return okResponse(plan)
 }
+
+// cutToPage reduces the machines of a plan to those whose names sort after since, as far as the encoded
+// plan fits into a response, but at least one machine. If a single machine does not fit, its last tasks
+// are only counted. The totals of a page cover all machines and tasks.
+func cutToPage(plan *drain.Plan, since string) {
+	machines := plan.Machines
+	first, _ := slices.BinarySearchFunc(machines, since, func(m drain.MachinePlan, name string) int {
+		if m.Machine <= name {
+			return -1
+		}
+		return 1
+	})
+	machines = machines[first:]
+	cutClasses(plan)
+	// The sizes are those of the final page, in which "more" may be set.
+	plan.Machines, plan.Truncated = []drain.MachinePlan{}, true
+	budget := messagesize.Max - messagesize.Of(plan)
+	fit := messagesize.FitPrefix(machines, budget)
+	if fit == 0 && len(machines) > 0 {
+		cutTasks(&machines[0], budget)
+		fit = 1
+	}
+	plan.Machines, plan.Truncated = machines[:fit], fit < len(machines)
+}
+
+// maxClassBytes bounds the encoded totals by class in a page of a plan, so that machines fit as well.
+const maxClassBytes = messagesize.Max / 4
+
+// cutClasses removes the totals of the last classes by name beyond maxClassBytes, and adds a warning
+// that says how many.
+func cutClasses(plan *drain.Plan) {
+	names := slices.Sorted(maps.Keys(plan.Classes))
+	budget, omitted := maxClassBytes, 0
+	for _, name := range names {
+		size := messagesize.Of(name) + len(":,") + messagesize.Of(plan.Classes[name])
+		if budget -= size; budget < 0 {
+			delete(plan.Classes, name)
+			omitted++
+		}
+	}
+	if omitted > 0 {
+		plan.Warnings = append(plan.Warnings, fmt.Sprintf("%d classes of jobs are not listed; the totals include them", omitted))
+	}
+}
+
+// cutTasks removes the last tasks of a machine until the encoded machine fits into budget bytes, and
+// counts them as omitted.
+func cutTasks(machine *drain.MachinePlan, budget int) {
+	tasks := machine.Tasks
+	machine.Tasks, machine.OmittedTasks = nil, len(tasks)
+	fit := messagesize.FitPrefix(tasks, budget-messagesize.Of(machine)-len(`"tasks":[],`))
+	machine.Tasks, machine.OmittedTasks = tasks[:fit], len(tasks)-fit
+}
--- a/internal/operator/golden_test.go
+++ b/internal/operator/golden_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -20,12 +21,12 @@
 	"github.com/gofiber/fiber/v2"
 )
 
-// goldenLeader is a leader that replies with every field set, and records the last plan request.
+// goldenLeader is a leader that replies with every field set, and records the last plan request. Its plan
+// takes more than one page.
 type goldenLeader struct {
 	fakeLeader
 	plannedSpec drain.Spec
 	force       bool
-	since       string
 }
 
 func (*goldenLeader) Machines(string, int) ([]scheduler.MachineView, bool) {
@@ -40,17 +41,19 @@
 	}, name == "m-1"
 }
 
-func (l *goldenLeader) PreviewDrain(spec *drain.Spec, force bool, since string, limit int) (*drain.Plan, error) {
+func (l *goldenLeader) PreviewDrain(spec *drain.Spec, force bool) (*drain.Plan, error) {
 	if l.planErr != nil {
-		return l.fakeLeader.PreviewDrain(spec, force, since, limit)
+		return l.fakeLeader.PreviewDrain(spec, force)
 	}
-	l.plannedSpec, l.force, l.since = *spec, force, since
+	l.plannedSpec, l.force = *spec, force
+	task := drain.TaskPlan{Task: "j-1/0", Class: "train", Action: drain.Move, Reason: "w"}
 	return &drain.Plan{
-		Machines: []drain.MachinePlan{{
-			Machine: "m-1", Zone: "a", EmptyS: 4.5,
-			Tasks: []drain.TaskPlan{{Task: "j-1/0", Class: "train", Action: drain.Move, Reason: "w"}},
-		}},
-		Truncated: true, Classes: map[string]*drain.ClassPlan{"train": {Late: 1}}, Total: drain.Summary{Machines: 1}, Warnings: []string{"w"},
+		Machines: []drain.MachinePlan{
+			{Machine: "m-0", Zone: "a", EmptyS: 4.5, Tasks: []drain.TaskPlan{task}}, // listed in the page before
+			{Machine: "m-1", Zone: "a", EmptyS: 4.5, Tasks: []drain.TaskPlan{task}},
+			{Machine: "m-2", Zone: "a", EmptyS: 4.5, Tasks: slices.Repeat([]drain.TaskPlan{task}, 1000)}, // fits no page with m-1
+		},
+		Classes: map[string]*drain.ClassPlan{"train": {Late: 1}}, Total: drain.Summary{Machines: 1}, Warnings: []string{"w"},
 	}, nil
 }
 
@@ -98,8 +101,8 @@
 	check("unknown machine", "GET", "/operator/machines/m-9", "")
 	check("no drains", "GET", "/operator/drains", "")
 	check("plan", "POST", "/operator/drains/plan", strings.Replace(goldenDrain, `"seen":["d-0"]`, `"seen":[]`, 1))
-	if !l.force || l.since != "m-0" || l.plannedSpec.ID != "d-1" || l.plannedSpec.Window == nil {
-		t.Errorf("the leader is asked for %+v, force %v, since %q", l.plannedSpec, l.force, l.since)
+	if !l.force || l.plannedSpec.ID != "d-1" || l.plannedSpec.Window == nil {
+		t.Errorf("the leader is asked for %+v, force %v", l.plannedSpec, l.force)
 	}
 	check("plan beside a drain that the leader has not read", "POST", "/operator/drains/plan", goldenDrain)
 	check("start", "POST", "/operator/drains", goldenDrain)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -42,12 +42,12 @@
 	Machine(name string) (scheduler.MachineView, bool)
 	// Drain returns a drain; ok is false if the leader has not read it from the store.
 	Drain(id string) (view scheduler.DrainView, ok bool)
-	// PreviewDrain returns the plan of a drain and changes nothing. The plan lists the machines whose
-	// names sort after since, up to limit machines and tasks in all but at least one machine. Without
-	// force, it rejects a drain, other than an upgrade, that leaves a class of jobs without any
-	// machine. The error is a *scheduler.DrainTargetError if the drain's target does not exist, and
-	// a *scheduler.DrainRefusedError if the drain is rejected for another reason.
-	PreviewDrain(spec *drain.Spec, force bool, since string, limit int) (*drain.Plan, error)
+	// PreviewDrain returns the plan of a drain, with all selected machines by name and all of their
+	// tasks, and changes nothing. Without force, it rejects a drain, other than an upgrade, that leaves
+	// a class of jobs without any machine. The error is a *scheduler.DrainTargetError if the drain's
+	// target does not exist, and a *scheduler.DrainRefusedError if the drain is rejected for another
+	// reason.
+	PreviewDrain(spec *drain.Spec, force bool) (*drain.Plan, error)
 }
 
 // Server handles the requests of operators.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -63,7 +63,7 @@
 	return scheduler.DrainView{}, l.readDrains[id]
 }
 
-func (l *fakeLeader) PreviewDrain(spec *drain.Spec, force bool, _ string, _ int) (*drain.Plan, error) {
+func (l *fakeLeader) PreviewDrain(spec *drain.Spec, force bool) (*drain.Plan, error) {
 	l.planned = append(l.planned, *spec)
 	if f := l.afterPlan; f != nil {
 		l.afterPlan = nil
@@ -97,6 +97,7 @@
 	t      *testing.T
 	store  *simulation.Store
 	leader *fakeLeader
+	leads  Leader // the leader in the process of n-0: leader, unless a test has replaced it
 	peers  *fakePeers
 	apps   map[string]*fiber.App // by node: n-0 leads, n-1 does not
 }
@@ -112,6 +113,7 @@
 	cluster := &testCluster{
 		t: t, store: simulation.NewStore(), leader: &fakeLeader{}, peers: &fakePeers{}, apps: map[string]*fiber.App{},
 	}
+	cluster.leads = cluster.leader
 	cfg := &config.Config{Node: "n-0"}
 	cfg.Deployment.Store = limits
 	for _, node := range []string{"n-0", "n-1"} {
@@ -119,7 +121,7 @@
 		cfg.Node = node
 		s := New(&cfg, cluster.store.Client(node), cluster.peers, func() string { return "n-0" }, func() Leader {
 			if node == "n-0" {
-				return cluster.leader
+				return cluster.leads
 			}
 			return nil
 		}, time.Second)
@@ -132,6 +134,9 @@
 	return cluster
 }
 
+// setLeader replaces the leader in the process of n-0.
+func (c *testCluster) setLeader(leader Leader) { c.leads = leader }
+
 // request sends a request to a node and returns the status and body of the response.
 func (c *testCluster) request(node, method, path, body string) (int, string) {
 	c.t.Helper()
--- a/internal/scheduler/drain_records.go
+++ b/internal/scheduler/drain_records.go
@@ -128,30 +128,6 @@
 	}
 }
 
-// PreviewDrainPage returns the plan of a drain with one page of machines: those whose names follow
-// since, with up to limit tasks and machines in total, but at least one machine.
-func (s *Scheduler) PreviewDrainPage(spec *drain.Spec, force bool, since string, limit int, now time.Time) (*drain.Plan, error) {
-	plan, err := s.PreviewDrain(spec, force, now)
-	if err != nil {
-		return nil, err
-	}
-	page := plan.Machines
-	for len(page) > 0 && page[0].Machine <= since {
-		page = page[1:]
-	}
-	for i := range page {
-		if omitted := len(page[i].Tasks) - limit; omitted > 0 {
-			page[i].Tasks, page[i].OmittedTasks = page[i].Tasks[:limit], omitted
-		}
-		if limit -= len(page[i].Tasks) + 1; limit < 0 && i > 0 {
-			page, plan.Truncated = page[:i], true
-			break
-		}
-	}
-	plan.Machines = page
-	return plan, nil
-}
-
 // DrainView returns a drain with its state, and false if there is no drain with that id.
 func (s *Scheduler) DrainView(id string) (DrainView, bool) {
 	for _, d := range s.drains.list {
