Take only a 404 of a peer for a version without the call

What callers could see: a cancellation confirmed although the leader had not acknowledged it, so that a task could start afterwards (ran_cancelled).

Cause: Peers.call returned ErrUnsupported for every status but 200. To notifyLeader that means a version whose leader learns of cancellations by its watch alone. A leader whose handler fails answers 500, one that gets too large a body 413.

Change: only 404, which a version without the call answers, wraps ErrUnsupported; any other status is a failed call.

Test: TestNotifyCancelledOutcomes, "failed handler". On the code before: "got false, peer: unexpected status 500 from n-4, want ... unsupported:false".

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -17,9 +17,28 @@
 // maxConnectionsPerPeer bounds the connections to each other controller.
 const maxConnectionsPerPeer = 16
 
-// ErrUnsupported means that a peer responded with a status other than 200, as versions that do not
-// support the call do.
-var ErrUnsupported = errors.New("peer: unexpected status")
+// ErrUnsupported means that a peer responded with status 404, as versions that do not support the call
+// do. Any other unexpected status says nothing about the version: the peer may have failed to handle
+// the call.
+var ErrUnsupported = errors.New("peer: call not supported")
+
+// statusError is the error of a response with an unexpected status.
+type statusError struct {
+	status int
+	node   string
+}
+
+func (e *statusError) Error() string {
+	return fmt.Sprintf("peer %s: unexpected status %d", e.node, e.status)
+}
+
+// Unwrap returns ErrUnsupported if the status means that.
+func (e *statusError) Unwrap() error {
+	if e.status == http.StatusNotFound {
+		return ErrUnsupported
+	}
+	return nil
+}
 
 // Peers calls the other controllers. It is safe for concurrent use.
 type Peers struct {
@@ -38,7 +57,7 @@
 }
 
 // call sends a request to the peer with the given index and decodes the peer's reply. Any HTTP status
-// but 200 is returned as ErrUnsupported.
+// but 200 is returned as a *statusError.
 func (p *Peers) call(i int, path string, request, reply any, timeout time.Duration) error {
 	raw, err := msgpack.Marshal(request)
 	if err != nil {
@@ -49,7 +68,7 @@
 		return fmt.Errorf("peer %s: %w", p.peers[i].Node, err)
 	}
 	if status != http.StatusOK {
-		return fmt.Errorf("%w %d from %s", ErrUnsupported, status, p.peers[i].Node)
+		return &statusError{status: status, node: p.peers[i].Node}
 	}
 	return msgpack.Unmarshal(body, reply)
 }
--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -19,13 +20,27 @@
 
 // serve serves the handlers until the test ends and returns the server's address.
 func serve(t *testing.T, h Handlers) string {
+	t.Helper()
+	app := fiber.New(fiber.Config{DisableStartupMessage: true})
+	Mount(app, h)
+	return serveApp(t, app)
+}
+
+// serveStatus responds to every request with a status until the test ends, and returns the server's
+// address.
+func serveStatus(t *testing.T, status int) string {
+	t.Helper()
+	app := fiber.New(fiber.Config{DisableStartupMessage: true})
+	app.Use(func(c *fiber.Ctx) error { return c.SendStatus(status) })
+	return serveApp(t, app)
+}
+
+func serveApp(t *testing.T, app *fiber.App) string {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	app := fiber.New(fiber.Config{DisableStartupMessage: true})
-	Mount(app, h)
 	go func() { _ = app.Listener(listener) }()
 	t.Cleanup(func() { _ = app.Shutdown() })
 	return listener.Addr().String()
@@ -156,6 +171,7 @@
 		{Node: "n-1", Addr: serve(t, Handlers{NotifyCancelled: func(id string) bool { return id == "j-1" }})},
 		{Node: "n-2", Addr: unreachableAddr(t)},
 		{Node: "n-3", Addr: serve(t, Handlers{})}, // a version that does not know the call
+		{Node: "n-4", Addr: serveStatus(t, http.StatusInternalServerError)},
 	}, callTimeout)
 	for name, test := range map[string]struct {
 		node, job                            string
@@ -165,6 +181,7 @@
 		"not acknowledged": {node: "n-1", job: "j-2"},
 		"unreachable":      {node: "n-2", job: "j-1", fails: true},
 		"unsupported call": {node: "n-3", job: "j-1", fails: true, unsupported: true},
+		"failed handler":   {node: "n-4", job: "j-1", fails: true},
 		"unknown node":     {node: "n-9", job: "j-1", fails: true},
 	} {
 		t.Run(name, func(t *testing.T) {
