End the request or the term, not the process, when a panic occurs

Cause: neither the servers nor the goroutines that they and the leader start recovered panics.

Change: a panic in a handler answers 500; in one heartbeat of a relayed batch, 503 for that heartbeat. A panic while the lock of the term's state is held, by a request or a loop, marks the state as inconsistent, releases the lock and ends the term: no worker is answered from it, no loop uses it, the leader resigns, and the next term loads its state from the store. A panic of a leader's loop ends the term as well; background loops of a controller run again. All locks of the state are released by a deferred call. Waiters of shared work (batches, lists) are woken after a panic of whoever does it.

--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -23,6 +23,7 @@
 	"drumpick/internal/operator"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
+	"drumpick/internal/recovery"
 	"drumpick/internal/store"
 	"drumpick/internal/watermark"
 	"drumpick/internal/workers"
@@ -53,10 +54,6 @@
 
 	// peerIdleTimeout is how long a peer's connection may be idle before it is closed.
 	peerIdleTimeout = 5 * time.Minute
-	// maxBodyBytes is the protocol's limit on the size of a request body.
-	maxBodyBytes = 64 << 10
-	// bufferBytes is the size of a connection's read and write buffers.
-	bufferBytes = 4096
 )
 
 // runDaemon serves until the process is killed or a server fails. There is no graceful shutdown: a
@@ -244,12 +241,15 @@
 
 // startBackground starts the controller's background loops, which run until ctx ends.
 func (d *daemon) startBackground(ctx context.Context) {
+	start := func(name string, run func(context.Context)) {
+		go recovery.Loop(ctx, name, d.timing.HeartbeatInterval, run)
+	}
 	if d.cfg.Options.HeartbeatRelay {
-		go d.api.AnnounceRelay(ctx)
+		start("relay announcements", d.api.AnnounceRelay)
 	}
-	go d.api.WatchPeers(ctx)
-	go d.refreshMachineTypes(ctx)
-	go d.election.Run(ctx, d.leadTerm)
+	start("status of the peers", d.api.WatchPeers)
+	start("machine types", d.refreshMachineTypes)
+	start("election", func(ctx context.Context) { d.election.Run(ctx, d.leadTerm) })
 }
 
 // leadTerm runs a leader for one term, until ctx ends.
@@ -295,20 +295,3 @@
 	}
 	d.api.SetMachineTypes(types)
 }
-
-// newApp returns an HTTP server with the protocol's limits, for up to the given number of
-// connections, at least minConnections. It closes a connection that has been idle for idleTimeout.
-// Otherwise the connections that workers abandoned after a hang or a network partition would
-// eventually exhaust the file descriptors.
-func newApp(connections int, idleTimeout time.Duration) *fiber.App {
-	return fiber.New(fiber.Config{
-		DisableStartupMessage: true,
-		BodyLimit:             maxBodyBytes,
-		Concurrency:           max(connections, minConnections),
-		ReadBufferSize:        bufferBytes,
-		WriteBufferSize:       bufferBytes,
-		IdleTimeout:           idleTimeout,
-		ReadTimeout:           idleTimeout,
-		ReduceMemoryUsage:     true,
-	})
-}
--- /dev/null
+++ b/cmd/drumpick/http_server.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"errors"
+	"time"
+
+	"drumpick/internal/messagesize"
+	"drumpick/internal/recovery"
+
+	"github.com/gofiber/fiber/v2"
+	recoverer "github.com/gofiber/fiber/v2/middleware/recover"
+)
+
+// bufferBytes is the size of a connection's read and write buffers.
+const bufferBytes = 4096
+
+// newApp returns an HTTP server with the protocol's limits, for up to the given number of
+// connections, at least minConnections. It closes a connection that has been idle for idleTimeout.
+// Otherwise the connections that workers abandoned after a hang or a network partition would
+// eventually exhaust the file descriptors. A panic of a handler fails only its request, with a 500.
+func newApp(connections int, idleTimeout time.Duration) *fiber.App {
+	app := fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             messagesize.Max,
+		Concurrency:           max(connections, minConnections),
+		ReadBufferSize:        bufferBytes,
+		WriteBufferSize:       bufferBytes,
+		IdleTimeout:           idleTimeout,
+		ReadTimeout:           idleTimeout,
+		ReduceMemoryUsage:     true,
+		ErrorHandler:          sendError,
+	})
+	app.Use(recoverer.New(recoverer.Config{EnableStackTrace: true, StackTraceHandler: reportPanic}))
+	return app
+}
+
+func reportPanic(c *fiber.Ctx, cause any) { recovery.Report(c.Method()+" "+c.Route().Path, cause) }
+
+// sendError sends the response to a request whose handler returned an error. The text of an error other
+// than the server's own, such as a panic, is not shown to the caller.
+func sendError(c *fiber.Ctx, err error) error {
+	var serverErr *fiber.Error
+	if !errors.As(err, &serverErr) {
+		err = fiber.ErrInternalServerError
+	}
+	return fiber.DefaultErrorHandler(c, err)
+}
--- a/internal/api/relay_routes.go
+++ b/internal/api/relay_routes.go
@@ -6,9 +6,11 @@
 
 	"drumpick/internal/config"
 	"drumpick/internal/peer"
+	"drumpick/internal/recovery"
 	"drumpick/internal/routing"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/gofiber/fiber/v2"
 )
 
 var workersRedirected = metrics.NewCounter("drumpick_workers_sent_to_peers_total")
@@ -71,7 +73,9 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			reply.Replies[i] = s.handleHeartbeatAsLeader(body, batch.From)
+			// The reply in case of a panic, which must not fail the batch's other heartbeats.
+			reply.Replies[i] = encodeJSON(fiber.StatusServiceUnavailable, redirectBody{})
+			recovery.Call("relayed heartbeat", func() { reply.Replies[i] = s.handleHeartbeatAsLeader(body, batch.From) })
 		}()
 	}
 	wg.Wait()
--- a/internal/api/shared_poll.go
+++ b/internal/api/shared_poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 	"drumpick/internal/ctxtime"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
+	"drumpick/internal/recovery"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -91,6 +93,15 @@
 // then. It has its own timeout because the list does not belong to any single poll.
 func (s *Server) listOpenJobs(list *openList, wait time.Duration) {
 	defer close(list.done)
+	list.err = errListFailed // unless the list is read
+	recovery.Call("list of open jobs", func() { s.readOpenJobs(list, wait) })
+}
+
+// errListFailed is the error of a list whose read panicked.
+var errListFailed = errors.New("list of open jobs failed")
+
+// readOpenJobs sets the jobs and the error of a list.
+func (s *Server) readOpenJobs(list *openList, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait+requestTimeout())
 	defer cancel()
 	_ = ctxtime.Sleep(ctx, wait)
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -237,6 +237,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.beginTerm(won, cancel)
+	defer e.endTerm() // also after a panic; a second call has no effect
 	slog.Info("leader elected", "term", won.number, "node", e.node)
 	done := make(chan struct{})
 	go func() {
--- a/internal/leader/attestation.go
+++ b/internal/leader/attestation.go
@@ -81,10 +81,13 @@
 	// relaxed must be read before the scheduler's state. If it is false, that state includes all
 	// tasks that were dispatched while watermarks were relaxed.
 	stored := !a.relaxed(time.Now())
-	a.state.mu.Lock()
-	stored = stored && a.state.scheduler.WatermarksStored()
-	reconciled := a.state.scheduler.Reconciled()
-	a.state.mu.Unlock()
+	reconciled := false
+	if !a.withState(func() {
+		stored = stored && a.state.scheduler.WatermarksStored()
+		reconciled = a.state.scheduler.Reconciled()
+	}) {
+		return
+	}
 	attestation, changed := a.update(stored, reconciled)
 	if attestation.Seq > 0 && (changed || time.Since(a.announcedAt) >= a.settings.HeartbeatInterval) {
 		a.announcedAt = time.Now()
--- a/internal/leader/autoscaling.go
+++ b/internal/leader/autoscaling.go
@@ -43,8 +43,8 @@
 		slog.Debug("cloud machine list not read", "err", err)
 		return pause
 	}
-	a.state.mu.Lock()
-	defer a.state.mu.Unlock()
+	a.lock()
+	defer a.unlock()
 	a.state.scheduler.ReconcileCloudList(list, askedAt, time.Now())
 	if !a.state.scheduler.Reconciled() {
 		return a.settings.ListLag / 2 // tasks wait until the list shows which machines are gone
@@ -61,14 +61,13 @@
 		if !a.leaseConfirmed() {
 			continue
 		}
-		a.state.mu.Lock()
-		planned := a.state.scheduler.PlanRentals(time.Now())
-		a.state.mu.Unlock()
+		var planned []autoscaler.RentalRequest
+		a.withState(func() { planned = a.state.scheduler.PlanRentals(time.Now()) })
 		for _, request := range planned {
 			requests.Add(1)
 			go func() {
 				defer requests.Done()
-				a.rent(ctx, request)
+				a.guard("rental", func() { a.rent(ctx, request) })
 			}()
 		}
 	}
@@ -89,14 +88,10 @@
 		noCapacity := errors.Is(err, autoscaler.ErrNoCapacity)
 		switch {
 		case err == nil:
-			a.state.mu.Lock()
-			a.state.scheduler.MachinesRented(request, machines, now)
-			a.state.mu.Unlock()
+			a.withState(func() { a.state.scheduler.MachinesRented(request, machines, now) })
 			return
 		case noCapacity, ctx.Err() != nil, retries >= maxRentalRetries:
-			a.state.mu.Lock()
-			a.state.scheduler.RentalRefused(request, noCapacity, now)
-			a.state.mu.Unlock()
+			a.withState(func() { a.state.scheduler.RentalRefused(request, noCapacity, now) })
 			return
 		}
 		slog.Debug("scale out not answered", "request", request.Name, "err", err)
@@ -122,9 +117,8 @@
 // returnMachines returns up to autoscaler.MaxReturnNames machines to the cloud in one call, and
 // reports whether more may be due. After an error, more is false.
 func (a *autoscaling) returnMachines(ctx context.Context) (more bool) {
-	a.state.mu.Lock()
-	machines := a.state.scheduler.MachinesToReturn(time.Now())
-	a.state.mu.Unlock()
+	var machines []string
+	a.withState(func() { machines = a.state.scheduler.MachinesToReturn(time.Now()) })
 	if len(machines) == 0 || !a.leaseConfirmed() {
 		return false
 	}
@@ -132,9 +126,7 @@
 		slog.Debug("scale in not answered", "machines", machines, "err", err)
 		return false
 	}
-	a.state.mu.Lock()
-	a.state.scheduler.MachinesReturned(machines, time.Now())
-	a.state.mu.Unlock()
+	a.withState(func() { a.state.scheduler.MachinesReturned(machines, time.Now()) })
 	a.persistSoon()
 	return len(machines) == autoscaler.MaxReturnNames
 }
--- a/internal/leader/cancellations.go
+++ b/internal/leader/cancellations.go
@@ -43,8 +43,8 @@
 // lease is renewed on the basis of that report, so that the responses to later heartbeats contain
 // the kill commands.
 func (t *term) cancelReported(jobs []string) {
-	t.state.mu.Lock()
-	defer t.state.mu.Unlock()
+	t.lock()
+	defer t.unlock()
 	newlyCancelled := 0
 	for _, job := range jobs {
 		if !t.state.cancelled.contains(job) {
@@ -95,8 +95,9 @@
 	if l.closed.Load() {
 		return false
 	}
-	l.state.mu.Lock()
-	arrival := l.cancelLocked(id)
-	l.state.mu.Unlock()
+	var arrival time.Time
+	if !l.withState(func() { arrival = l.cancelLocked(id) }) {
+		return false
+	}
 	return ctxtime.Sleep(ctx, time.Until(arrival)) == nil
 }
--- a/internal/leader/commands.go
+++ b/internal/leader/commands.go
@@ -20,12 +20,14 @@
 	for sleepStart := time.Now(); ctxtime.Sleep(ctx, interval) == nil; sleepStart = time.Now() {
 		now := time.Now()
 		mayStart := c.mayStartTasks()
-		c.state.mu.Lock()
-		c.state.scheduler.ObserveTick(now.Sub(sleepStart), now)
-		c.state.scheduler.Tick(now, mayStart)
-		urgent := c.state.scheduler.TakeUrgentCommands()
-		probes := c.state.scheduler.Probes(now)
-		c.state.mu.Unlock()
+		var urgent []scheduler.UrgentCommands
+		var probes []fleet.Probe
+		c.withState(func() {
+			c.state.scheduler.ObserveTick(now.Sub(sleepStart), now)
+			c.state.scheduler.Tick(now, mayStart)
+			urgent = c.state.scheduler.TakeUrgentCommands()
+			probes = c.state.scheduler.Probes(now)
+		})
 		c.sendProbes(probes)
 		c.sendUrgent(urgent)
 	}
@@ -34,7 +36,7 @@
 // sendUrgent sends commands to workers in the background, and reconciles the statuses in the answers.
 func (c *commandLoop) sendUrgent(commands []scheduler.UrgentCommands) {
 	for _, command := range commands {
-		c.workers.Go(func() {
+		c.callWorker("urgent commands", func() {
 			if _, status, err := c.workers.SendCommands(command.Addr, command.Body); err == nil {
 				c.reconcileStatus(status)
 			}
@@ -46,18 +48,20 @@
 // answers to the scheduler.
 func (c *commandLoop) sendProbes(probes []fleet.Probe) {
 	for _, probe := range probes {
-		c.workers.Go(func() {
+		c.callWorker("probe", func() {
 			_, status, err := c.workers.SendCommands(probe.Addr, c.emptyCommandRequest(probe.Incarnation))
-			if err != nil {
-				return
+			if err == nil {
+				c.withState(func() { c.state.scheduler.ApplyProbe(probe, status, time.Now()) })
 			}
-			c.state.mu.Lock()
-			defer c.state.mu.Unlock()
-			c.state.scheduler.ApplyProbe(probe, status, time.Now())
 		})
 	}
 }
 
+// callWorker starts a goroutine that runs f, which calls a worker. name names f in the report of a panic.
+func (t *term) callWorker(name string, f func()) {
+	t.workers.Go(func() { t.guard(name, f) })
+}
+
 // emptyCommandRequest returns a direct command request without commands for a worker's incarnation.
 // The worker learns the term from it and answers with its status.
 func (t *term) emptyCommandRequest(incarnation uint64) fleet.CommandRequest {
@@ -67,7 +71,5 @@
 // reconcileStatus reconciles the scheduler's state with the status in a worker's answer to a direct
 // command.
 func (t *term) reconcileStatus(status *fleet.Heartbeat) {
-	t.state.mu.Lock()
-	defer t.state.mu.Unlock()
-	t.state.scheduler.Reconcile(status, false, time.Now())
+	t.withState(func() { t.state.scheduler.Reconcile(status, false, time.Now()) })
 }
--- a/internal/leader/commit_conflict.go
+++ b/internal/leader/commit_conflict.go
@@ -40,9 +40,7 @@
 			}
 		case failed:
 			matched = true
-			p.state.mu.Lock()
-			write.OnConflict()
-			p.state.mu.Unlock()
+			p.withState(write.OnConflict)
 		default:
 			remaining = append(remaining, write)
 		}
@@ -73,8 +71,8 @@
 // under the key (nil: none). It reports whether record is what the write stores, and calls OnStored
 // if so.
 func (p *persister) applyStoredRecord(write scheduler.PendingWrite, record *records.KeyValue) (stored bool) {
-	p.state.mu.Lock()
-	defer p.state.mu.Unlock()
+	p.lock()
+	defer p.unlock()
 	*write.GuardRevision = 0
 	if record != nil {
 		*write.GuardRevision = record.Revision
--- a/internal/leader/dependencies.go
+++ b/internal/leader/dependencies.go
@@ -42,13 +42,11 @@
 func (d *dependencyReader) run(ctx context.Context) {
 	pause := d.settings.HeartbeatInterval / 8
 	for ctxtime.Sleep(ctx, pause/2+rand.N(pause)) == nil {
-		d.state.mu.Lock()
-		jobs := d.state.scheduler.UnreadDependencies()
-		d.state.mu.Unlock()
+		var jobs []string
+		d.withState(func() { jobs = d.state.scheduler.UnreadDependencies() })
 		d.readAll(ctx, jobs)
-		d.state.mu.Lock()
-		hasJobsToCancel := d.state.scheduler.HasJobsToCancel()
-		d.state.mu.Unlock()
+		hasJobsToCancel := false
+		d.withState(func() { hasJobsToCancel = d.state.scheduler.HasJobsToCancel() })
 		if hasJobsToCancel {
 			d.persistSoon()
 		}
@@ -79,7 +77,7 @@
 		go func() {
 			defer reads.Done()
 			defer func() { <-slots }()
-			d.read(ctx, job, &absent)
+			d.guard("dependency read", func() { d.read(ctx, job, &absent) })
 		}()
 	}
 	reads.Wait()
@@ -96,13 +94,13 @@
 		slog.Debug("dependency not read", "job", job, "err", err)
 		return
 	}
-	d.state.mu.Lock()
-	defer d.state.mu.Unlock()
-	var closed records.ClosedJob
-	if record == nil || json.Unmarshal(record.Value, &closed) != nil {
-		// The job may be open and not yet reported by the watch.
-		*absent = append(*absent, job)
-		return
-	}
-	d.state.scheduler.ApplyClosedRecord(job, closed, record.Revision)
+	d.withState(func() {
+		var closed records.ClosedJob
+		if record == nil || json.Unmarshal(record.Value, &closed) != nil {
+			// The job may be open and not yet reported by the watch.
+			*absent = append(*absent, job)
+			return
+		}
+		d.state.scheduler.ApplyClosedRecord(job, closed, record.Revision)
+	})
 }
--- a/internal/leader/drains.go
+++ b/internal/leader/drains.go
@@ -54,8 +54,8 @@
 }
 
 func (w *drainWatch) apply(events []records.Event, _ time.Time) {
-	w.state.mu.Lock()
-	defer w.state.mu.Unlock()
+	w.lock()
+	defer w.unlock()
 	for _, event := range events {
 		if event.Write == "" {
 			w.state.scheduler.RemoveDrain(strings.TrimPrefix(event.Delete, records.PrefixDrains))
@@ -78,22 +78,22 @@
 	if err != nil {
 		return 0, err
 	}
-	w.state.mu.Lock()
-	defer w.state.mu.Unlock()
+	w.lock()
+	defer w.unlock()
 	w.state.scheduler.ReplaceDrains(found)
 	return revision, nil
 }
 
 // PreviewDrain returns the expected effect of a drain that starts now, on all selected machines.
 func (l *Leader) PreviewDrain(spec *drain.Spec, force bool) (*drain.Plan, error) {
-	l.state.mu.Lock()
-	defer l.state.mu.Unlock()
+	l.lock()
+	defer l.unlock()
 	return l.state.scheduler.PreviewDrain(spec, force, time.Now())
 }
 
 // Drain returns a drain with its state; ok is false if no drain has the id.
 func (l *Leader) Drain(id string) (view scheduler.DrainView, ok bool) {
-	l.state.mu.Lock()
-	defer l.state.mu.Unlock()
+	l.lock()
+	defer l.unlock()
 	return l.state.scheduler.DrainView(id)
 }
--- a/internal/leader/failover.go
+++ b/internal/leader/failover.go
@@ -42,8 +42,8 @@
 	sched.CheckReconciled(now)
 	jobs, machines := sched.Counts()
 	slog.Info("failover complete", "term", l.number, "node", l.cfg.Node, "jobs", jobs, "machines", machines)
-	l.state.mu.Lock()
-	defer l.state.mu.Unlock()
+	l.lock()
+	defer l.unlock()
 	l.state.scheduler = sched
 	l.state.persistence = persistence
 	return revision, nil
--- a/internal/leader/fencing.go
+++ b/internal/leader/fencing.go
@@ -20,17 +20,19 @@
 // A round starts once all calls of the previous round have ended.
 func (f *machineFencing) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.state.mu.Lock()
-		machines := f.state.scheduler.Unreconciled()
-		reconciled := f.state.scheduler.Reconciled()
-		f.state.mu.Unlock()
+		var machines []scheduler.UnreconciledMachine
+		reconciled := false
+		f.withState(func() {
+			machines = f.state.scheduler.Unreconciled()
+			reconciled = f.state.scheduler.Reconciled()
+		})
 		if reconciled {
 			return
 		}
 		var calls sync.WaitGroup
 		for _, machine := range machines {
 			calls.Add(1)
-			f.workers.Go(func() {
+			f.callWorker("fencing", func() {
 				defer calls.Done()
 				f.fence(machine)
 			})
--- a/internal/leader/heartbeat.go
+++ b/internal/leader/heartbeat.go
@@ -18,8 +18,11 @@
 	if outcome := x.admit(); outcome != fleet.HeartbeatAccepted {
 		return fleet.HeartbeatResult{Outcome: outcome}
 	}
-	l.state.mu.Lock()
-	defer l.state.mu.Unlock()
+	l.lock()
+	defer l.unlock()
+	if l.state.inconsistent {
+		return fleet.HeartbeatResult{Outcome: fleet.HeartbeatRedirected}
+	}
 	if result := x.reconcileLocked(); result != nil {
 		return *result
 	}
@@ -191,29 +194,29 @@
 		}
 		l.state.mu.Lock()
 	}
-	return l.state.scheduler.IsLatestHeartbeat(machine, incarnation, sequence) && l.contact.mayRenewLeases(time.Now())
+	return !l.state.inconsistent && l.state.scheduler.IsLatestHeartbeat(machine, incarnation, sequence) && l.contact.mayRenewLeases(time.Now())
 }
 
 // Recency returns the recency of a heartbeat relative to the latest status of its machine, and
 // records a late one of a known machine.
 func (l *Leader) Recency(heartbeat *fleet.Heartbeat) fleet.Recency {
-	l.state.mu.Lock()
-	defer l.state.mu.Unlock()
+	l.lock()
+	defer l.unlock()
 	return l.state.scheduler.Recency(heartbeat, time.Now())
 }
 
 // NeedsRelay reports whether the worker of a heartbeat forwarded by a peer is to be answered through
 // that peer, because it seems unable to reach this controller. It updates the machine's relay state.
 func (l *Leader) NeedsRelay(heartbeat *fleet.Heartbeat) bool {
-	l.state.mu.Lock()
-	defer l.state.mu.Unlock()
+	l.lock()
+	defer l.unlock()
 	return l.state.scheduler.NeedsRelay(heartbeat.Machine, time.Now())
 }
 
 // ObserveDelay records how long messages of a peer waited for this controller, as measured by the
 // peer.
 func (l *Leader) ObserveDelay(delay time.Duration) {
-	l.state.mu.Lock()
-	defer l.state.mu.Unlock()
+	l.lock()
+	defer l.unlock()
 	l.state.scheduler.ObserveDelay(delay)
 }
--- a/internal/leader/job_watch.go
+++ b/internal/leader/job_watch.go
@@ -64,8 +64,8 @@
 // answer was made after askedAt, so no event before askedAt is missed.
 func (w *jobWatch) apply(events []records.Event, askedAt time.Time) {
 	now := time.Now()
-	w.state.mu.Lock()
-	defer w.state.mu.Unlock()
+	w.lock()
+	defer w.unlock()
 	for _, event := range events {
 		if event.Write != "" {
 			w.addJob(w.state.scheduler, records.KeyValue{Key: event.Write, Value: event.Value, Revision: event.Revision}, now, now)
@@ -92,8 +92,8 @@
 		return 0, err
 	}
 	now := time.Now()
-	w.state.mu.Lock()
-	defer w.state.mu.Unlock()
+	w.lock()
+	defer w.unlock()
 	isOpen := func(job string) bool {
 		_, ok := open[job]
 		return ok
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -34,6 +34,7 @@
 	"drumpick/internal/fleet"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
+	"drumpick/internal/recovery"
 	"drumpick/internal/scheduler"
 	"drumpick/internal/watermark"
 	"drumpick/internal/workers"
@@ -127,8 +128,13 @@
 	return func(ctx context.Context, _ uint64) { run(ctx) }
 }
 
-// Run serves the term until ctx ends, and returns once all of its loops have returned.
+// Run serves the term until ctx ends, and returns once all of its loops have returned. A panic of a loop
+// ends the term.
 func (l *Leader) Run(ctx context.Context) {
+	l.guard("term", func() { l.serve(ctx) })
+}
+
+func (l *Leader) serve(ctx context.Context) {
 	defer context.AfterFunc(ctx, func() { l.closed.Store(true) })()
 	revision, ok := l.loadWithRetries(ctx)
 	if !ok {
@@ -140,7 +146,7 @@
 		running.Add(1)
 		go func() {
 			defer running.Done()
-			run(ctx, revision)
+			l.guard("leader loop", func() { run(ctx, revision) })
 		}()
 	}
 	running.Wait()
@@ -206,12 +212,55 @@
 	persistence *scheduler.Persistence // nil until loaded
 	cancelled   cancelledJobs
 	committed   chan struct{} // closed, and replaced, after each commit
+	// inconsistent is set once a holder of the lock has panicked.
+	inconsistent bool
 }
 
 func newState(settings scheduler.Settings, term uint64) state {
 	return state{scheduler: scheduler.New(settings, term, time.Now()), committed: make(chan struct{})}
 }
 
+// lock acquires the lock of the state. The caller must defer unlock.
+func (t *term) lock() { t.state.mu.Lock() }
+
+// unlock releases the lock of the state. It must be deferred: if the caller panics, the state may be
+// inconsistent, so unlock ends the term before it releases the lock, and the panic continues.
+func (t *term) unlock() {
+	defer t.state.mu.Unlock()
+	if cause := recover(); cause != nil {
+		t.state.inconsistent = true
+		t.resignAfterPanic()
+		panic(cause)
+	}
+}
+
+// withState calls f with the lock of the state held, and reports whether it did: it does not once a
+// panic has left the state inconsistent.
+func (t *term) withState(f func()) (called bool) {
+	t.lock()
+	defer t.unlock()
+	if t.state.inconsistent {
+		return false
+	}
+	f()
+	return true
+}
+
+// guard calls f, and reports a panic of f and ends the term. name names f in the report.
+func (t *term) guard(name string, f func()) {
+	if !recovery.Call(name, f) {
+		t.resignAfterPanic()
+	}
+}
+
+// resignAfterPanic ends the term. The next term, of this or another controller, loads its state from the
+// store again. Without it, a leader would continue with a state that a panic has left inconsistent, or
+// without one of its loops.
+func (t *term) resignAfterPanic() {
+	t.closed.Store(true)
+	t.election.Resign()
+}
+
 // persistSoon triggers the persister before its next round is due. It does not block.
 func (t *term) persistSoon() {
 	select {
--- a/internal/leader/lease_expiry.go
+++ b/internal/leader/lease_expiry.go
@@ -39,9 +39,8 @@
 		if !watermark.LeasesExpired(renewers, e.sinceRenewals(ctx), lease) {
 			continue
 		}
-		e.state.mu.Lock()
-		machines := e.state.scheduler.ExpireEarlierLeases(time.Now())
-		e.state.mu.Unlock()
+		machines := 0
+		e.withState(func() { machines = e.state.scheduler.ExpireEarlierLeases(time.Now()) })
 		slog.Info("earlier leases expired", "term", e.number, "machines", machines, "nodes", renewers)
 		e.persistSoon()
 		return
@@ -49,8 +48,8 @@
 }
 
 func (e *leaseExpiry) reconciled() bool {
-	e.state.mu.Lock()
-	defer e.state.mu.Unlock()
+	e.lock()
+	defer e.unlock()
 	return e.state.scheduler.Reconciled()
 }
 
--- a/internal/leader/machine_types.go
+++ b/internal/leader/machine_types.go
@@ -36,9 +36,7 @@
 			}
 			continue
 		}
-		m.state.mu.Lock()
-		m.state.scheduler.SetMachineTypes(types)
-		m.state.mu.Unlock()
+		m.withState(func() { m.state.scheduler.SetMachineTypes(types) })
 		sort.Slice(types, func(i, j int) bool { return types[i].Name < types[j].Name })
 		m.storeIfChanged(ctx, types)
 		if ctxtime.Sleep(ctx, typesRefreshIntervals*interval) != nil {
--- a/internal/leader/persist.go
+++ b/internal/leader/persist.go
@@ -48,9 +48,8 @@
 // ended.
 func (p *persister) persistAll(ctx context.Context) bool {
 	for {
-		p.state.mu.Lock()
-		writes := p.state.persistence.NextWrites(time.Now(), p.attestor.takeDueRecord)
-		p.state.mu.Unlock()
+		var writes []scheduler.PendingWrite
+		p.withState(func() { writes = p.state.persistence.NextWrites(time.Now(), p.attestor.takeDueRecord) })
 		if len(writes) == 0 {
 			return true
 		}
@@ -130,27 +129,27 @@
 // markStored records that writes were stored at a revision, and wakes the heartbeats that wait for
 // a commit.
 func (p *persister) markStored(writes []scheduler.PendingWrite, revision uint64) {
-	p.state.mu.Lock()
-	for _, write := range writes {
-		if write.GuardRevision != nil {
-			*write.GuardRevision = revision
-			if write.Ops[0].Delete != "" {
-				*write.GuardRevision = 0
+	p.withState(func() {
+		for _, write := range writes {
+			if write.GuardRevision != nil {
+				*write.GuardRevision = revision
+				if write.Ops[0].Delete != "" {
+					*write.GuardRevision = 0
+				}
 			}
+			write.OnStored(revision)
 		}
-		write.OnStored(revision)
-	}
-	close(p.state.committed)
-	p.state.committed = make(chan struct{})
-	p.state.mu.Unlock()
+		close(p.state.committed)
+		p.state.committed = make(chan struct{})
+	})
 	p.attestor.recordRevision(revision)
 }
 
 // markUnanswered calls OnUnanswered of each write whose key was absent: the write got no answer and
 // may still be applied.
 func (p *persister) markUnanswered(writes []scheduler.PendingWrite) {
-	p.state.mu.Lock()
-	defer p.state.mu.Unlock()
+	p.lock()
+	defer p.unlock()
 	for _, write := range writes {
 		if write.GuardRevision != nil && *write.GuardRevision == 0 && write.OnUnanswered != nil {
 			write.OnUnanswered()
@@ -180,8 +179,8 @@
 // markTooLarge records that the store will never accept a write in its present form. A write
 // without OnTooLarge is abandoned.
 func (p *persister) markTooLarge(write scheduler.PendingWrite) {
-	p.state.mu.Lock()
-	defer p.state.mu.Unlock()
+	p.lock()
+	defer p.unlock()
 	if write.OnTooLarge == nil {
 		slog.Error("write abandoned as too large", "key", write.Ops[0].Write, "term", p.number)
 		return
--- a/internal/peer/batcher.go
+++ b/internal/peer/batcher.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"errors"
 	"sync"
 	"time"
 )
@@ -88,11 +89,16 @@
 	time.Sleep(b.window)
 	slots <- struct{}{}
 	b.seal(node, target)
+	// Deferred, because the senders of the batch's other heartbeats would wait forever after a panic.
+	target.err = errNotSent
+	defer close(target.done)
+	defer func() { <-slots }()
 	target.reply, target.err = b.send(node, target.heartbeats)
-	<-slots
-	close(target.done)
 }
 
+// errNotSent is the error of a batch whose send function panicked.
+var errNotSent = errors.New("peer: batch not sent")
+
 // nodeSlots returns the semaphore that bounds a node's batches in flight.
 func (b *Batcher) nodeSlots(node string) chan struct{} {
 	b.mu.Lock()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 
 	"drumpick/internal/config"
 	"drumpick/internal/httpclient"
+	"drumpick/internal/recovery"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -97,12 +98,14 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			var status Status
-			if p.call(i, pathStatus, request, &status, p.timeout) == nil {
-				mu.Lock()
-				statuses = append(statuses, status)
-				mu.Unlock()
-			}
+			recovery.Call("status of a peer", func() {
+				var status Status
+				if p.call(i, pathStatus, request, &status, p.timeout) == nil {
+					mu.Lock()
+					statuses = append(statuses, status)
+					mu.Unlock()
+				}
+			})
 		}()
 	}
 	wg.Wait()
--- a/internal/simulation/cluster_test.go
+++ b/internal/simulation/cluster_test.go
@@ -54,6 +54,7 @@
 	isolated              map[int]bool          // controllers that no other controller can reach
 	onlyControllerForZone map[string]int        // the only controller that the workers of a zone can reach, by zone
 	delays                map[int]time.Duration // additional delay of heartbeats and peer messages to a controller
+	beforeCloudList       func(controller int)  // called before a leader reads the cloud's machine list; may be nil
 	copyDelays            []time.Duration       // delays of the copies of every heartbeat; see copyHeartbeats
 	shouldKeepCopy        func() bool           // decides whether to keep a copy of a heartbeat for the next leader; nil: never
 	keptHeartbeats        [][]byte              // copies kept for the next leader
@@ -189,7 +190,7 @@
 	if cfg.Options.HeartbeatRelay {
 		go n.server.AnnounceRelay(ctx)
 	}
-	cloud := &CloudClient{Environment: c.env, Alive: func() bool { return ctx.Err() == nil }}
+	cloud := &observedCloud{&CloudClient{Environment: c.env, Alive: func() bool { return ctx.Err() == nil }}, c, i}
 	go func() {
 		defer close(n.stopped)
 		n.election.Run(ctx, func(ctx context.Context, term uint64) {
