Reject request bodies with a Content-Encoding

Not seen in a deployment; found while looking for what else a request can do to its process.

Cause: fiber's Body decodes gzip, br and deflate; its BodyLimit counts the encoded bytes.

Change: a request with a Content-Encoding gets a 415 before any handler.

Test: TestEncodedBodyIsRejected.

--- a/cmd/drumpick/http_server.go
+++ b/cmd/drumpick/http_server.go
@@ -31,9 +31,22 @@
 		ErrorHandler:          sendError,
 	})
 	app.Use(recoverer.New(recoverer.Config{EnableStackTrace: true, StackTraceHandler: reportPanic}))
+	app.Use(rejectEncodedBody)
 	return app
 }
 
+// rejectEncodedBody responds with a 415 to a request with a Content-Encoding. The limit on the body
+// counts the encoded bytes, and fiber decodes the body without a limit: a body of 64 KiB could take all
+// memory of the process.
+func rejectEncodedBody(c *fiber.Ctx) error {
+	for _, encoding := range c.Request().Header.PeekAll(fiber.HeaderContentEncoding) {
+		if len(encoding) > 0 {
+			return fiber.ErrUnsupportedMediaType
+		}
+	}
+	return c.Next()
+}
+
 func reportPanic(c *fiber.Ctx, cause any) { recovery.Report(c.Method()+" "+c.Route().Path, cause) }
 
 // sendError sends the response to a request whose handler returned an error. The text of an error other
--- a/cmd/drumpick/http_server_test.go
+++ b/cmd/drumpick/http_server_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"io"
 	"net/http/httptest"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/valyala/fasthttp"
 )
 
 // Guards against a request that ends the process: a handler that panics fails with a 500 that does not
@@ -30,3 +32,34 @@
 		}
 	}
 }
+
+// Guards against a compressed body that takes all memory of the process: 64 KiB can decode to
+// gigabytes. No handler sees the body of a request with a Content-Encoding, whatever the header's case.
+func TestEncodedBodyIsRejected(t *testing.T) {
+	app := newApp(16, time.Minute)
+	longest := 0
+	app.Post("/work", func(c *fiber.Ctx) error {
+		longest = max(longest, len(c.Body()))
+		return c.SendStatus(201)
+	})
+	decoded := make([]byte, 8<<20)
+	for encodings, body := range map[string][]byte{
+		"gzip":           fasthttp.AppendGzipBytes(nil, decoded),
+		"br":             fasthttp.AppendBrotliBytes(nil, decoded),
+		"deflate":        fasthttp.AppendDeflateBytes(nil, decoded),
+		"identity, gzip": fasthttp.AppendGzipBytes(nil, decoded),
+		"|gzip":          fasthttp.AppendGzipBytes(nil, decoded), // two headers, the first one empty
+	} {
+		for _, header := range []string{"Content-Encoding", "content-encoding", "CONTENT-ENCODING"} {
+			request := httptest.NewRequest("POST", "/work", bytes.NewReader(body))
+			request.Header[header] = strings.Split(encodings, "|")
+			response, err := app.Test(request, -1)
+			if err != nil || response.StatusCode != fiber.StatusUnsupportedMediaType {
+				t.Errorf("%s %s: got %v, %v, want status 415", header, encodings, response, err)
+			}
+		}
+	}
+	if longest > 64<<10 {
+		t.Errorf("a handler got a body of %d bytes, want at most 64 KiB", longest)
+	}
+}
