Reject maintenance windows whose starts cannot be computed in bounded time

What callers could do: drain plan with the window FREQ=HOURLY;INTERVAL=24;BYHOUR=3 never ends; each repetition keeps one goroutine of a controller busy for good. Not seen in a deployment; found while looking for what a caller can make never end.

Cause: rrule goes through a rule's periods.

Test: TestCheckNamesInvalidField, four cases.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -362,6 +363,12 @@
 func TestCheckNamesInvalidField(t *testing.T) {
 	now := time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
 	rule := "FREQ=DAILY;BYHOUR=2;BYMINUTE=0;BYSECOND=0"
+	var numbers []string
+	for i := range 60 {
+		numbers = append(numbers, strconv.Itoa(i))
+	}
+	minutes := strings.Join(numbers, ",")
+	everySecond := "FREQ=YEARLY;BYDAY=MO,TU,WE,TH,FR,SA,SU;BYHOUR=2;BYMINUTE=" + minutes + ";BYSECOND=" + minutes
 	for name, test := range map[string]struct {
 		spec Spec
 		want string
@@ -418,6 +425,22 @@
 			Spec{ID: "d-1", Zone: "a", Window: &Window{Rule: "FREQ=MINUTELY", TimeZone: "UTC", DurationS: 60}},
 			"window.rule: more often",
 		},
+		"an hour that never comes": {
+			Spec{ID: "d-1", Zone: "a", Window: &Window{Rule: "FREQ=HOURLY;INTERVAL=24;BYHOUR=3;BYMINUTE=0;BYSECOND=0", TimeZone: "UTC", DurationS: 60}},
+			"window.rule: more often",
+		},
+		"every second of a day": {
+			Spec{ID: "d-1", Zone: "a", Window: &Window{Rule: everySecond, TimeZone: "UTC", DurationS: 60}},
+			"window.rule: more than 24 starts a day",
+		},
+		"an interval of ages": {
+			Spec{ID: "d-1", Zone: "a", Window: &Window{Rule: rule + ";INTERVAL=1000000", TimeZone: "UTC", DurationS: 60}},
+			"window.rule: an interval",
+		},
+		"first start ages ago": {
+			Spec{ID: "d-1", Zone: "a", Window: &Window{Rule: rule, TimeZone: "UTC", DurationS: 60, FirstStart: "0002-01-01T00:00"}},
+			"window.starts: begins",
+		},
 		"invalid first start": {
 			Spec{ID: "d-1", Zone: "a", Window: &Window{Rule: rule, TimeZone: "UTC", DurationS: 60, FirstStart: "soon"}},
 			"window.starts:",
--- a/internal/drain/window.go
+++ b/internal/drain/window.go
@@ -26,6 +26,31 @@
 	maxLookahead      = maxLookaheadYears * 366 * 24 * time.Hour
 )
 
+// Bounds of a rule. Package rrule computes the next start by going through the rule's periods from its
+// first start, and keeps all starts of a period in memory. For rules with shorter periods than a day it
+// may never find a start and not return.
+const (
+	maxRuleInterval = 1000 // periods from one to the next
+	maxStartsPerDay = 24
+	minStartYear    = 2000 // of the first start
+)
+
+// checkRule returns an error if the next start of a rule cannot be computed in bounded time and memory.
+func checkRule(option *rrule.ROption) error {
+	perDay := max(len(option.Byhour), 1) * max(len(option.Byminute), 1) * max(len(option.Bysecond), 1)
+	switch {
+	case option.Freq > rrule.DAILY:
+		return errors.New("window.rule: more often than daily; a daily rule may name several hours")
+	case option.Interval > maxRuleInterval:
+		return fmt.Errorf("window.rule: an interval of more than %d", maxRuleInterval)
+	case perDay > maxStartsPerDay:
+		return fmt.Errorf("window.rule: more than %d starts a day", maxStartsPerDay)
+	case option.Dtstart.Year() < minStartYear:
+		return fmt.Errorf("window.rule, window.starts: begins before the year %d", minStartYear)
+	}
+	return nil
+}
+
 // localTimeLayout is the layout of Window.FirstStart.
 const localTimeLayout = "2006-01-02T15:04"
 
@@ -58,20 +83,22 @@
 	return rule, nil
 }
 
-// Check returns an error that names the first invalid field. It rejects a rule whose next two
-// windows, with lead time, overlap, because the drain would never release its machines. Later
-// windows are not compared.
+// Check returns an error that names the first invalid field. It rejects a rule outside of the bounds of
+// checkRule, which records of earlier versions may hold, and a rule whose next two windows, with lead
+// time, overlap, because the drain would never release its machines. Later windows are not compared.
 func (w *Window) Check(now time.Time) error {
 	rule, err := w.parseRule()
-	switch {
-	case err != nil:
+	if err != nil {
 		return err
+	}
+	if err := checkRule(&rule.OrigOptions); err != nil {
+		return err
+	}
+	switch {
 	case !(w.DurationS >= minWindowS && w.DurationS <= maxWindowS):
 		return errors.New("window.for_s: not within a minute to a week")
 	case !(w.LeadS >= 0 && w.LeadS <= maxWindowS):
 		return errors.New("window.lead_s: not within 0 to a week")
-	case rule.OrigOptions.Freq > rrule.DAILY && len(rule.OrigOptions.Byhour) == 0:
-		return errors.New("window.rule: more often than daily")
 	}
 	first, ok := w.startAfter(rule, now.Add(-w.length()))
 	if !ok {
