Bound the tasks of a machine and its commands by the size of a message

With 1,200 tasks the worker's next heartbeat was too large, so that the lease expired again and again; with 50,000 the leader stood still.

Cause: a machine's tasks were bounded by CPUs, GPUs and memory only, not by what its heartbeat (64 KiB) can list; a response held all commands that were due. mayDispatch summed up all attempts of the machine for each planned one.

Change: the status of a machine is one more resource of its bin, so that every decision about room counts it; a task takes the largest encoded size of its entry, an ended one until the worker has reaped it. Commands to a worker are cut by encoded size, kills first; the rest follows as direct commands or with the next response. The sum of what is on a machine is made once per response; attempts are found by task.

--- a/internal/autoscaler/offer.go
+++ b/internal/autoscaler/offer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"drumpick/internal/fleet"
 	"drumpick/internal/packing"
 	"drumpick/internal/records"
 )
@@ -29,14 +30,10 @@
 	Names []string // the order in which types are tried, cheapest first
 }
 
-// Capacity returns the resources of a machine of a type; zero for an unknown type.
+// Capacity returns the resources of a machine of a type. An unknown type has no CPUs, GPUs and memory.
 func (c Catalog) Capacity(name string) packing.Resources {
 	t := c.Types[name]
-	return capacityOf(&t)
-}
-
-func capacityOf(t *records.MachineType) packing.Resources {
-	return packing.Resources{CPU: t.CPUs, GPU: t.GPUs, Mem: t.MemGB}
+	return fleet.Capacity(&t)
 }
 
 // StartupTime returns how long a machine of a type takes to start; 0 for an unknown type.
--- a/internal/autoscaler/planner.go
+++ b/internal/autoscaler/planner.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"drumpick/internal/fleet"
 	"drumpick/internal/packing"
 )
 
@@ -278,7 +279,7 @@
 		d.machineSeconds[machineType] = math.Inf(1) // gangs and replicas need all their machines at once
 		return
 	}
-	share := d.Catalog.Capacity(machineType).Share(d.demand.Request)
+	share := d.Catalog.Capacity(machineType).ShareWithStatus(d.demand.Request)
 	d.machineSeconds[machineType] += float64(tasks) * d.demand.TaskSeconds * share
 }
 
@@ -361,7 +362,7 @@
 	found := false
 	for _, name := range d.Catalog.Names {
 		t := d.Catalog.Types[name]
-		capacity := capacityOf(&t)
+		capacity := fleet.Capacity(&t)
 		if !capacity.Fits(d.demand.Request) {
 			continue
 		}
--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -35,6 +35,8 @@
 	listed     bool    // it is on its machine's list of attempts
 	stopping   bool    // a stop was requested
 	graceS     float64 // seconds to save a checkpoint after the stop
+	killsSent  int     // number of messages with its kill command
+	occupied   float64 // bytes of the machine's status that it takes without an item, as an ended attempt
 	lastSeenIn uint64  // Machine.statusCount of the last status that listed it
 	ordinal    uint64  // order of addition to the table
 }
@@ -90,9 +92,23 @@
 		return
 	}
 	a.state = state
+	a.occupyStatus()
 	a.notifyChanged()
 }
 
+// occupyStatus reserves the part of the machine's status that an ended attempt takes until the worker
+// has reaped it. Without it, new tasks could make the status larger than a worker can send.
+func (a *Attempt) occupyStatus() {
+	bytes := 0.0
+	if a.listed && a.state == Ended {
+		bytes = taskStatusBytes(a.Task, a.Number, CauseGangPeerLost)
+	}
+	if bytes != a.occupied {
+		a.Machine.Bin.OccupyStatus(bytes - a.occupied)
+		a.occupied = bytes
+	}
+}
+
 // setItem sets the attempt's item in the machine's bin; nil: none.
 func (a *Attempt) setItem(item *packing.Item) {
 	a.Item = item
@@ -118,6 +134,8 @@
 		t.attemptsByJob[a.Task.Job] = ofJob
 	}
 	ofJob[a] = struct{}{}
+	m.byTask[a.Task] = append(m.byTask[a.Task], a)
+	a.occupyStatus()
 	a.notifyChanged()
 }
 
@@ -129,15 +147,27 @@
 		return
 	}
 	m.attempts = slices.Delete(m.attempts, i, i+1)
+	m.removeFromTaskIndex(a)
 	ofJob := m.table.attemptsByJob[a.Task.Job]
 	delete(ofJob, a)
 	if len(ofJob) == 0 {
 		delete(m.table.attemptsByJob, a.Task.Job)
 	}
 	a.listed = false
+	a.occupyStatus()
 	a.notifyChanged()
 }
 
+// removeFromTaskIndex removes an attempt from the machine's index by task.
+func (m *Machine) removeFromTaskIndex(a *Attempt) {
+	ofTask := slices.DeleteFunc(m.byTask[a.Task], func(other *Attempt) bool { return other == a })
+	if len(ofTask) == 0 {
+		delete(m.byTask, a.Task)
+		return
+	}
+	m.byTask[a.Task] = ofTask
+}
+
 // forgetAll removes all attempts of a machine, and returns those that had not ended.
 func (m *Machine) forgetAll() []*Attempt {
 	var lost []*Attempt
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -67,8 +67,9 @@
 	images []image // expected in its image cache, least recently used first
 
 	table    *Table
-	removed  bool       // it was removed from the table
-	attempts []*Attempt // in the order of addition
+	removed  bool                  // it was removed from the table
+	attempts []*Attempt            // in the order of addition
+	byTask   map[TaskID][]*Attempt // the attempts by task; most tasks have one
 
 	statusCount       uint64    // number of applied statuses
 	heartbeatSequence uint64    // sequence number of the last applied heartbeat
@@ -93,30 +94,10 @@
 	return true
 }
 
-// PendingCommands returns the reap and kill commands that are due for the machine. They are
-// idempotent: they may arrive late, repeatedly, or both in a heartbeat response and as a direct
-// command.
-func (m *Machine) PendingCommands() []Command {
-	commands := []Command{}
-	for _, a := range m.attempts {
-		if a.state == Ended && a.MayReap {
-			commands = append(commands, Command{Verb: VerbReap, Task: a.Task.String(), Attempt: a.Number})
-		}
-	}
-	for _, a := range m.attempts {
-		if a.stopping && a.MayBePresent() {
-			graceS := a.graceS
-			commands = append(commands, Command{Verb: VerbKill, Task: a.Task.String(), Attempt: a.Number, GraceS: &graceS})
-		}
-	}
-	return commands
-}
-
-// attempt returns an attempt by its task and number, or nil. A machine has few attempts, so a
-// linear scan is sufficient.
+// attempt returns an attempt by its task and number, or nil.
 func (m *Machine) attempt(task TaskID, number uint64) *Attempt {
-	for _, a := range m.attempts {
-		if a.Number == number && a.Task == task {
+	for _, a := range m.byTask[task] {
+		if a.Number == number {
 			return a
 		}
 	}
--- a/internal/packing/bin.go
+++ b/internal/packing/bin.go
@@ -12,7 +12,8 @@
 	open       bool
 	used       Resources // sum of the items' requests
 	reserved   Resources // for items that are not in the bin yet
-	free       Resources // capacity that is neither used nor reserved
+	occupied   Resources // by what is no item and takes no share of the paper's resources
+	free       Resources // capacity that is neither used, reserved nor occupied
 	gap        float64   // see Gap
 	items      []*Item
 	kindCounts [4]int // number of items by kind
@@ -87,17 +88,27 @@
 // reserved than the bin has free, until items in it are removed.
 func (b *Bin) Reserve(amount Resources) {
 	b.reserved = b.reserved.Add(amount)
-	if b.reserved.CPU < eps && b.reserved.GPU < eps && b.reserved.Mem < eps {
+	if b.reserved.CPU < eps && b.reserved.GPU < eps && b.reserved.Mem < eps && b.reserved.StatusBytes < eps {
 		b.reserved = Resources{}
 	}
 	b.contentChanged()
 }
 
+// OccupyStatus increases the bytes of the status that are taken by what is no item, such as ended tasks
+// that the worker still reports, or decreases them if bytes is negative.
+func (b *Bin) OccupyStatus(bytes float64) {
+	b.occupied.StatusBytes = max(b.occupied.StatusBytes+bytes, 0)
+	b.contentChanged()
+}
+
+// Occupied returns what is taken by what is no item.
+func (b *Bin) Occupied() Resources { return b.occupied }
+
 // Reserved returns the reserved amount.
 func (b *Bin) Reserved() Resources { return b.reserved }
 
-// Fits reports whether a request fits into the capacity that is neither used nor reserved, in every
-// resource.
+// Fits reports whether a request fits into the capacity that is neither used, reserved nor occupied, in
+// every resource.
 func (b *Bin) Fits(request Resources) bool { return b.free.Fits(request) }
 
 // Gap returns the share of the fullest resource that is neither used nor reserved (Definition 1).
@@ -134,7 +145,7 @@
 // contentChanged updates the fields derived from the bin's content, and moves the bin to the index set
 // of its current slot.
 func (b *Bin) contentChanged() {
-	b.free = b.Capacity.Sub(b.used).Sub(b.reserved)
+	b.free = b.Capacity.Sub(b.used).Sub(b.reserved).Sub(b.occupied)
 	b.gap = 1 - b.Capacity.Share(b.used.Add(b.reserved))
 	if b.space == nil {
 		return
--- a/internal/packing/resources.go
+++ b/internal/packing/resources.go
@@ -1,10 +1,13 @@
 package packing
 
-// Resources is an amount of each resource: CPUs, GPUs and gigabytes of memory.
+// Resources is an amount of each resource: CPUs, GPUs, gigabytes of memory and bytes of the machine's
+// status, which lists its tasks and has a limited size. The status only bounds what fits: the sizes of
+// items and the gaps of bins are those of the paper, without it.
 type Resources struct {
-	CPU float64
-	GPU float64
-	Mem float64
+	CPU         float64
+	GPU         float64
+	Mem         float64
+	StatusBytes float64
 }
 
 // eps absorbs the rounding errors of sums of decimal amounts.
@@ -12,25 +15,32 @@
 
 // Add returns r + other.
 func (r Resources) Add(other Resources) Resources {
-	return Resources{r.CPU + other.CPU, r.GPU + other.GPU, r.Mem + other.Mem}
+	return Resources{r.CPU + other.CPU, r.GPU + other.GPU, r.Mem + other.Mem, r.StatusBytes + other.StatusBytes}
 }
 
 // Sub returns r - other.
 func (r Resources) Sub(other Resources) Resources {
-	return Resources{r.CPU - other.CPU, r.GPU - other.GPU, r.Mem - other.Mem}
+	return Resources{r.CPU - other.CPU, r.GPU - other.GPU, r.Mem - other.Mem, r.StatusBytes - other.StatusBytes}
 }
 
 // Fits reports whether a request fits into the free resources r.
 func (r Resources) Fits(request Resources) bool {
-	return request.CPU <= r.CPU+eps && request.GPU <= r.GPU+eps && request.Mem <= r.Mem+eps
+	return request.CPU <= r.CPU+eps && request.GPU <= r.GPU+eps && request.Mem <= r.Mem+eps &&
+		request.StatusBytes <= r.StatusBytes+eps
 }
 
-// Share returns the largest share that a request takes of any resource of the capacity r
-// (section 3.8).
+// Share returns the largest share that a request takes of any resource of the capacity r (section 3.8),
+// except the status.
 func (r Resources) Share(request Resources) float64 {
 	return max(ratio(request.CPU, r.CPU), ratio(request.GPU, r.GPU), ratio(request.Mem, r.Mem))
 }
 
+// ShareWithStatus returns the largest share that a request takes of any resource of the capacity r: its
+// inverse is how many such requests fit into r.
+func (r Resources) ShareWithStatus(request Resources) float64 {
+	return max(r.Share(request), ratio(request.StatusBytes, r.StatusBytes))
+}
+
 // cannotFit is a share that exceeds any bin's capacity.
 const cannotFit = 2
 
--- a/internal/scheduler/autoscale.go
+++ b/internal/scheduler/autoscale.go
@@ -137,7 +137,7 @@
 	for _, m := range s.fleet.Sorted() {
 		for _, a := range m.Attempts() {
 			if j := s.jobOf(a); j != nil && a.Item != nil && j.Shape == records.ShapeArray {
-				sum[m.Type] += s.remainingSeconds(j, a, now) * m.Bin.Capacity.Share(a.Item.Request)
+				sum[m.Type] += s.remainingSeconds(j, a, now) * m.Bin.Capacity.ShareWithStatus(a.Item.Request)
 			}
 		}
 	}
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -87,32 +87,67 @@
 			attempt.MayReap = job == nil || hasBit(job.stored, attempt.Task.N)
 		}
 	}
-	response := fleet.HeartbeatResponse{FencingToken: s.term, Commands: machine.PendingCommands()}
+	batch := s.nextBatch(machine)
+	if canRun {
+		s.addRuns(machine, &batch, now)
+	}
+	if len(batch.Commands) > 0 {
+		slog.Debug("commands sent", "machine", machine.Name, "commands", len(batch.Commands), "term", s.term)
+	}
+	return fleet.HeartbeatResponse{FencingToken: s.term, Commands: batch.Commands}
+}
+
+// nextBatch returns the pending commands for a heartbeat response. Those that do not fit are sent as
+// direct commands.
+func (s *Scheduler) nextBatch(machine *fleet.Machine) fleet.CommandBatch {
+	batch, more := machine.NextBatch()
 	delete(s.urgentMachines, machine.Name)
-	if !canRun {
-		return response
+	if more {
+		s.urgentMachines[machine.Name] = true
 	}
+	return batch
+}
+
+// addRuns adds run commands for the attempts planned for a machine to a heartbeat response, until one
+// does not fit: the attempts that follow wait for the next response.
+func (s *Scheduler) addRuns(machine *fleet.Machine, batch *fleet.CommandBatch, now time.Time) {
+	present := presentOn(machine)
 	for _, attempt := range slices.Clone(machine.Attempts()) {
-		if attempt.State() == fleet.Planned && s.dispatch(machine, attempt, now) {
-			run := fleet.Command{Verb: fleet.VerbRun, Task: attempt.Task.String(), Attempt: attempt.Number}
-			response.Commands = append(response.Commands, run)
+		if attempt.State() != fleet.Planned {
+			continue
+		}
+		run := fleet.Command{Verb: fleet.VerbRun, Task: attempt.Task.String(), Attempt: attempt.Number}
+		if !batch.HasRoom(run) {
+			return
+		}
+		if s.dispatch(machine, attempt, present, now) {
+			batch.TryAdd(run)
+			present = present.Add(attempt.Item.Request)
 		}
 	}
-	if len(response.Commands) > 0 {
-		slog.Debug("commands sent", "machine", machine.Name, "commands", len(response.Commands), "term", s.term)
+}
+
+// presentOn returns the resources of a machine that are taken by the attempts that may be on it,
+// including those whose run command is in flight, but not planned ones.
+func presentOn(machine *fleet.Machine) packing.Resources {
+	present := machine.Bin.Occupied()
+	for _, attempt := range machine.Attempts() {
+		if attempt.MayBePresent() && attempt.Item != nil {
+			present = present.Add(attempt.Item.Request)
+		}
 	}
-	return response
+	return present
 }
 
 // dispatch marks a planned attempt as sent if it may be sent, and reports whether it may. An attempt
 // that may not be sent is cancelled, unless its start is shed, or its machine accepts tasks and the
-// machine's record or the task's watermark is not stored yet.
-func (s *Scheduler) dispatch(machine *fleet.Machine, attempt *fleet.Attempt, now time.Time) bool {
+// machine's record or the task's watermark is not stored yet. present is the result of presentOn.
+func (s *Scheduler) dispatch(machine *fleet.Machine, attempt *fleet.Attempt, present packing.Resources, now time.Time) bool {
 	job := s.jobOf(attempt)
 	if job != nil && s.shedsStart(job) {
 		return false
 	}
-	if !s.mayDispatch(attempt, now) {
+	if !s.mayDispatch(attempt, present, now) {
 		awaitsRecord := (!machine.Recorded || !s.belowWatermark(attempt)) && s.acceptsTasks(machine, now)
 		if !awaitsRecord {
 			machine.Forget(attempt)
@@ -129,8 +164,9 @@
 
 // mayDispatch checks the rules for job, task, machine, zone, quota and room again just before a run
 // command is sent, but not claims and held machines. It counts the attempts that may be on
-// machines, including those whose run command is in flight, but not planned ones.
-func (s *Scheduler) mayDispatch(attempt *fleet.Attempt, now time.Time) bool {
+// machines, including those whose run command is in flight, but not planned ones. present is the result
+// of presentOn: a sum per attempt would take long on a machine with many small tasks.
+func (s *Scheduler) mayDispatch(attempt *fleet.Attempt, present packing.Resources, now time.Time) bool {
 	job, machine, task := s.jobOf(attempt), attempt.Machine, attempt.Task.N
 	switch {
 	case job == nil, attempt.State() != fleet.Planned, !s.startable(job, now):
@@ -148,11 +184,5 @@
 	case job.teamLimited && !s.withinLimit(job, s.quotaUsage.InUse(job.Team)):
 		return false
 	}
-	var present packing.Resources
-	for _, other := range machine.Attempts() {
-		if other.MayBePresent() && other.Item != nil {
-			present = present.Add(other.Item.Request)
-		}
-	}
 	return machine.Bin.Capacity.Sub(present).Fits(job.request)
 }
--- a/internal/scheduler/fake_fleet_test.go
+++ b/internal/scheduler/fake_fleet_test.go
@@ -93,7 +93,9 @@
 		// Kill commands are sent at once.
 		for _, machine := range f.machines {
 			if machine.heartbeat.Machine == name {
-				f.applyCommands(machine, f.scheduler.fleet.Machines[name].PendingCommands())
+				for _, batch := range f.scheduler.fleet.Machines[name].AllBatches() {
+					f.applyCommands(machine, batch.Commands)
+				}
 			}
 		}
 		delete(f.scheduler.urgentMachines, name)
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -28,7 +28,7 @@
 		return fleet.HeartbeatResponse{}, false
 	}
 	machine.RenewLease(now)
-	return fleet.HeartbeatResponse{FencingToken: s.term, Commands: machine.PendingCommands()}, true
+	return fleet.HeartbeatResponse{FencingToken: s.term, Commands: s.nextBatch(machine).Commands}, true
 }
 
 // maxRelayLeases is for how many leases a worker is answered through another controller before it is
--- a/internal/scheduler/leader_api.go
+++ b/internal/scheduler/leader_api.go
@@ -79,8 +79,8 @@
 	Body fleet.CommandRequest
 }
 
-// TakeUrgentCommands returns the commands to be sent at once, and clears the set of machines that
-// need them.
+// TakeUrgentCommands returns the commands to be sent at once, in messages of limited size, and clears the
+// set of machines that need them.
 func (s *Scheduler) TakeUrgentCommands() []UrgentCommands {
 	var calls, unreachable []UrgentCommands
 	for name := range s.urgentMachines {
@@ -89,8 +89,8 @@
 		if machine == nil || machine.Addr == "" || !machine.HasStatus {
 			continue
 		}
-		if commands := machine.PendingCommands(); len(commands) > 0 {
-			body := fleet.CommandRequest{FencingToken: s.term, Incarnation: machine.Incarnation, Commands: commands}
+		for _, batch := range machine.AllBatches() {
+			body := fleet.CommandRequest{FencingToken: s.term, Incarnation: machine.Incarnation, Commands: batch.Commands}
 			call := UrgentCommands{machine.Addr, body}
 			if machine.Unreachable() {
 				unreachable = append(unreachable, call)
--- a/internal/scheduler/machine_types.go
+++ b/internal/scheduler/machine_types.go
@@ -41,7 +41,7 @@
 	if !ok {
 		return
 	}
-	machine.Bin.SetCapacity(packing.Resources{CPU: t.CPUs, GPU: t.GPUs, Mem: t.MemGB})
+	machine.Bin.SetCapacity(fleet.Capacity(&t))
 	space := s.spaces[machine.Type]
 	if space == nil {
 		space = &packing.Space{Ranked: true, Movable: s.itemMovable, Worthwhile: s.suitableMoveTarget}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"drumpick/internal/config"
-	"drumpick/internal/packing"
+	"drumpick/internal/fleet"
 	"drumpick/internal/records"
 )
 
@@ -183,7 +183,7 @@
 	share := 1.0
 	for name, t := range s.machineTypes {
 		if j.allowsType(name) {
-			share = min(share, packing.Resources{CPU: t.CPUs, GPU: t.GPUs, Mem: t.MemGB}.Share(j.request))
+			share = min(share, fleet.Capacity(&t).Share(j.request))
 		}
 	}
 	return share
--- a/internal/scheduler/scenario_workers_test.go
+++ b/internal/scheduler/scenario_workers_test.go
@@ -118,8 +118,10 @@
 	sort.Strings(names)
 	for _, name := range names {
 		if machine := r.scheduler.fleet.Machines[name]; machine != nil {
-			for _, line := range commandLines(machine.PendingCommands()) {
-				lines = append(lines, "at once to "+name+": "+line)
+			for _, batch := range machine.AllBatches() {
+				for _, line := range commandLines(batch.Commands) {
+					lines = append(lines, "at once to "+name+": "+line)
+				}
 			}
 		}
 		delete(r.scheduler.urgentMachines, name)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -112,7 +112,7 @@
 	words := (record.Tasks + 63) / 64
 	job := &Job{
 		Job: record, Revision: revision,
-		request:         packing.Resources{CPU: record.CPUs, GPU: record.GPUs, Mem: record.MemGB},
+		request:         fleet.Request(&record, s.term<<attemptSequenceBits|maxAttemptSequence),
 		imageReadyLabel: fleet.ImageReadyLabel(record.Image),
 		done:            make([]uint64, words),
 		stored:          make([]uint64, words),
@@ -240,6 +240,9 @@
 // higher bits hold the term, so attempt numbers are unique across terms.
 const attemptSequenceBits = 24
 
+// maxAttemptSequence is the highest number that an attempt has within its term.
+const maxAttemptSequence = 1<<attemptSequenceBits - 1
+
 // newAttemptNumber returns a new unique attempt number.
 func (s *Scheduler) newAttemptNumber() uint64 {
 	s.sequence++
