Bound the sizes of commands and statuses without encoding them

Cause: the size of each command was taken by encoding it, several times per response, and an index by task was kept for each machine.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -134,7 +134,6 @@
 		t.attemptsByJob[a.Task.Job] = ofJob
 	}
 	ofJob[a] = struct{}{}
-	m.byTask[a.Task] = append(m.byTask[a.Task], a)
 	a.occupyStatus()
 	a.notifyChanged()
 }
@@ -147,7 +146,6 @@
 		return
 	}
 	m.attempts = slices.Delete(m.attempts, i, i+1)
-	m.removeFromTaskIndex(a)
 	ofJob := m.table.attemptsByJob[a.Task.Job]
 	delete(ofJob, a)
 	if len(ofJob) == 0 {
@@ -158,16 +156,6 @@
 	a.notifyChanged()
 }
 
-// removeFromTaskIndex removes an attempt from the machine's index by task.
-func (m *Machine) removeFromTaskIndex(a *Attempt) {
-	ofTask := slices.DeleteFunc(m.byTask[a.Task], func(other *Attempt) bool { return other == a })
-	if len(ofTask) == 0 {
-		delete(m.byTask, a.Task)
-		return
-	}
-	m.byTask[a.Task] = ofTask
-}
-
 // forgetAll removes all attempts of a machine, and returns those that had not ended.
 func (m *Machine) forgetAll() []*Attempt {
 	var lost []*Attempt
--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -9,7 +9,7 @@
 // empty list, not nil, as the protocol requires.
 type CommandBatch struct {
 	Commands []Command
-	bytes    int // encoded size of the commands with separators
+	bytes    int // upper bound of the encoded size of the commands with separators
 }
 
 // HasRoom reports whether a command fits.
@@ -27,8 +27,13 @@
 	return true
 }
 
-// commandSize returns the encoded size of a command with a separator.
-func commandSize(command Command) int { return encodedSize(command) + len(",") }
+// commandSize returns an upper bound of the encoded size of a command with a separator.
+func commandSize(command Command) int {
+	return maxCommandFieldBytes + maxEncodedBytes(command.Task)
+}
+
+// maxCommandFieldBytes is the largest encoded size of a command without its task, with a separator.
+const maxCommandFieldBytes = len(`{"verb":"kill","shot":"","try":18446744073709551615,"wind_down_s":-1.7976931348623157e+308},`)
 
 // NextBatch returns reap and kill commands that are due for the machine, as many as fit into one message,
 // and whether more are due. The commands are idempotent: they may arrive late, repeatedly, or both in a
@@ -76,10 +81,13 @@
 // takeBatch splits commands into a batch, in their order, and the commands that do not fit. It counts
 // the batch's kills as sent. The batch has at least one command if there is any.
 func takeBatch(pending []pendingCommand) (batch CommandBatch, rest []pendingCommand) {
-	batch.Commands = []Command{}
-	fits := fittingCommands(pending)
+	batch.Commands = make([]Command, 0, len(pending))
+	var selected map[*Attempt]bool // nil: all
+	if totalSize(pending) > maxCommandBytes {
+		selected = fittingCommands(pending)
+	}
 	for _, command := range pending {
-		if !fits[command.attempt] || !batch.TryAdd(command.Command) {
+		if selected != nil && !selected[command.attempt] || !batch.TryAdd(command.Command) {
 			rest = append(rest, command)
 		} else if command.Verb == VerbKill {
 			command.attempt.killsSent++
@@ -88,6 +96,15 @@
 	return batch, rest
 }
 
+// totalSize returns an upper bound of the encoded size of commands with separators.
+func totalSize(pending []pendingCommand) int {
+	total := 0
+	for _, command := range pending {
+		total += commandSize(command.Command)
+	}
+	return total
+}
+
 // fittingCommands returns the attempts whose commands are selected for a batch; each has one command.
 func fittingCommands(pending []pendingCommand) map[*Attempt]bool {
 	byPriority := slices.Clone(pending)
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -67,9 +67,8 @@
 	images []image // expected in its image cache, least recently used first
 
 	table    *Table
-	removed  bool                  // it was removed from the table
-	attempts []*Attempt            // in the order of addition
-	byTask   map[TaskID][]*Attempt // the attempts by task; most tasks have one
+	removed  bool       // it was removed from the table
+	attempts []*Attempt // in the order of addition
 
 	statusCount       uint64    // number of applied statuses
 	heartbeatSequence uint64    // sequence number of the last applied heartbeat
@@ -94,10 +93,11 @@
 	return true
 }
 
-// attempt returns an attempt by its task and number, or nil.
+// attempt returns an attempt by its task and number, or nil. The size of a status bounds the attempts of
+// a machine, so a linear scan is sufficient.
 func (m *Machine) attempt(task TaskID, number uint64) *Attempt {
-	for _, a := range m.byTask[task] {
-		if a.Number == number {
+	for _, a := range m.attempts {
+		if a.Number == number && a.Task == task {
 			return a
 		}
 	}
--- a/internal/fleet/message_size.go
+++ b/internal/fleet/message_size.go
@@ -1,13 +1,11 @@
 package fleet
 
 import (
-	"math"
+	"strconv"
 
 	"drumpick/internal/messagesize"
 	"drumpick/internal/packing"
 	"drumpick/internal/records"
-
-	"github.com/mailru/easyjson"
 )
 
 const (
@@ -42,15 +40,20 @@
 // taskStatusBytes returns the largest encoded size of the status of an attempt with the given longest
 // cause of its end, with a separator.
 func taskStatusBytes(task TaskID, attempt uint64, cause string) float64 {
-	status := TaskStatus{Task: task.String(), Attempt: attempt, Status: Ended.String(), Cause: cause}
-	return float64(encodedSize(status) + len(","))
+	const fields = len(`{"shot":"","try":,"status":"ended","cause":"","saved":false},`)
+	return float64(fields + maxEncodedBytes(task.String()) + len(strconv.FormatUint(attempt, 10)) + len(cause))
 }
 
-// encodedSize returns the size of the JSON encoding of a message in bytes.
-func encodedSize(message easyjson.Marshaler) int {
-	raw, err := easyjson.Marshal(message)
-	if err != nil {
-		return math.MaxInt32 // unreachable: the messages hold only texts and finite numbers
+// maxEscapedBytes is the largest number of bytes that a byte of a text takes in JSON.
+const maxEscapedBytes = len(`\u0000`)
+
+// maxEncodedBytes returns an upper bound of the size of a text in JSON, without quotes: exact for the ids of
+// tasks of accepted jobs.
+func maxEncodedBytes(text string) int {
+	for i := range len(text) {
+		if c := text[i]; (c < '0' || c > '9') && (c < 'a' || c > 'z') && c != '-' && c != '/' {
+			return maxEscapedBytes * len(text)
+		}
 	}
-	return len(raw)
+	return len(text)
 }
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -69,7 +69,6 @@
 		Zone:             zone,
 		Spot:             spot,
 		FailedTasksByJob: map[string]int{},
-		byTask:           map[TaskID][]*Attempt{},
 		Bin:              packing.NewBin(name, packing.Resources{}),
 		Forecast:         forecast.New(t.Forecast),
 	}
