Bound responses to operators and the texts of errors by encoded size

What callers could see: lines above the protocol's 64 KiB, in errors to workers and users and in the operators' lists. Not seen in a deployment; found while looking for messages whose size nothing bounds.

Cause: pages were bounded by a number of items; errors quoted what the caller had sent, and JSON may take six bytes for one.

Change: pages of machines and drains are cut by encoded size, and the list of drains has pages; long lists within one machine or drain are cut and the rest is counted; the text of an error has at most 1,000 bytes. New fields and the query parameter are optional.

The golden files gain the new fields and the second page of drains.

--- a/client/golden_test.go
+++ b/client/golden_test.go
@@ -25,8 +25,8 @@
 			EstimateS: 10, CheckpointS: 5, SaveS: 2, DeadlineS: &deadlineS, Dependencies: []string{"j-1", "j-2"},
 		}, Machine{
 			Name: "m-1", Type: "g8", Zone: "a", Spot: true, Addr: "10.1.0.232:9000", State: "up", AgeS: 60.5, Version: "1.0", TaskCount: 1,
-			Tasks: []Task{{Task: "j-1/0", Attempt: 2, State: "running", RanS: 4.5, Stopping: true}},
-		}, Drain{Spec: spec, Force: true, Since: "m-0"}, DrainView{Drain: spec, State: &DrainState{
+			Tasks: []Task{{Task: "j-1/0", Attempt: 2, State: "running", RanS: 4.5, Stopping: true}}, OmittedTasks: 3,
+		}, Drain{Spec: spec, Force: true, Since: "m-0"}, DrainView{Drain: spec, OmittedOutOfService: 4, State: &DrainState{
 			Phase: drain.PhaseUpgrading, Rollout: &drain.Rollout{Target: "1.1", Previous: "1.0", RolledBack: true, Reason: "w", Blocked: "b"}, OutOfService: []string{"m-1"},
 			MachinesLeft: 2, Blocked: "b", Plan: sum, Actual: sum, BeganMS: 946684801000, EndedMS: 946684802000, Term: 41,
 		}}, DrainPlan{
@@ -112,8 +112,10 @@
 		"plan":    {[]answer{{200, text(plan)}, {200, text(last)}}, func() (any, error) { return c.PlanDrain(ctx, d) }, both, nil},
 		"start":   {[]answer{{201, text(view)}}, func() (any, error) { return c.StartDrain(ctx, d) }, view, nil},
 		"drains":  {[]answer{{200, `{"drains":[` + text(view) + `]}`}}, func() (any, error) { return c.Drains(ctx) }, []DrainView{view}, nil},
-		"drain":   {[]answer{{200, text(view)}}, func() (any, error) { return c.Drain(ctx, "d-1") }, view, nil},
-		"stop":    {[]answer{{200, text(view)}}, func() (any, error) { return c.StopDrain(ctx, "d-1") }, view, nil},
+		"drains, two pages": {[]answer{{200, `{"drains":[` + text(view) + `],"more":true}`}, {200, `{"drains":[` + text(view) + `]}`}},
+			func() (any, error) { return c.Drains(ctx) }, []DrainView{view, view}, nil},
+		"drain": {[]answer{{200, text(view)}}, func() (any, error) { return c.Drain(ctx, "d-1") }, view, nil},
+		"stop":  {[]answer{{200, text(view)}}, func() (any, error) { return c.StopDrain(ctx, "d-1") }, view, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, a := range x.answers {
--- a/client/operator.go
+++ b/client/operator.go
@@ -22,6 +22,8 @@
 	Version   string  `json:"version,omitempty"` // version of its worker
 	TaskCount int     `json:"tasks"`             // number of tasks on it
 	Tasks     []Task  `json:"on_it,omitempty"`   // the tasks; set by Client.Machine only
+	// OmittedTasks is the number of tasks that Client.Machine does not list because there are too many.
+	OmittedTasks int `json:"others,omitempty"`
 }
 
 // Task is one attempt of a task on a machine.
@@ -94,6 +96,9 @@
 type DrainView struct {
 	Drain drain.Spec  `json:"drain"`
 	State *DrainState `json:"state,omitempty"` // nil until a leader has seen the drain
+	// OmittedOutOfService is the number of machines out of service that State does not list because there are
+	// too many.
+	OmittedOutOfService int `json:"others,omitempty"`
 }
 
 // NewDrainID returns a new drain ID, made of the time in milliseconds, so that later IDs sort after earlier ones.
@@ -126,10 +131,22 @@
 
 // Drains returns all drains on record, including ended ones; the service removes the oldest of these.
 func (c *Client) Drains(ctx context.Context) ([]DrainView, error) {
-	var list struct {
-		Drains []DrainView `json:"drains"`
+	var all []DrainView
+	uri := "/operator/drains"
+	for more := true; more; {
+		var page struct {
+			Drains []DrainView `json:"drains"`
+			More   bool        `json:"more"`
+		}
+		if err := c.requestJSON(ctx, http.MethodGet, uri, nil, "drains", &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Drains...)
+		if more = page.More && len(page.Drains) > 0; more {
+			uri = "/operator/drains?since=" + url.QueryEscape(all[len(all)-1].Drain.ID)
+		}
 	}
-	return list.Drains, c.requestJSON(ctx, http.MethodGet, "/operator/drains", nil, "drains", &list)
+	return all, nil
 }
 
 // Drain returns one drain and its progress.
--- a/cmd/drumpickctl/drains.go
+++ b/cmd/drumpickctl/drains.go
@@ -303,6 +303,9 @@
 		return
 	}
 	row("in hand", abbreviateList(s.OutOfService))
+	if v.OmittedOutOfService > 0 {
+		row("not listed", fmt.Sprintf("%d more in hand", v.OmittedOutOfService))
+	}
 	row("waits", s.Blocked)
 	if s.Rollout != nil && s.Rollout.RolledBack {
 		row("rolled back", s.Rollout.Reason+", to version "+s.Rollout.Target)
--- a/cmd/drumpickctl/machines.go
+++ b/cmd/drumpickctl/machines.go
@@ -65,6 +65,9 @@
 		}
 		fmt.Fprintf(w, "%s\t%d.%d\t%s\t%.0fs\n", t.Task, t.Attempt>>24, t.Attempt&(1<<24-1), state, t.RanS)
 	}
+	if m.OmittedTasks > 0 {
+		fmt.Fprintf(w, "and %d more tasks\n", m.OmittedTasks)
+	}
 }
 
 func machineKind(spot bool) string {
--- a/internal/api/heartbeats.go
+++ b/internal/api/heartbeats.go
@@ -64,10 +64,10 @@
 	}
 	var heartbeat fleet.Heartbeat
 	if err := easyjson.Unmarshal(body, &heartbeat); err != nil {
-		return encodeJSON(fiber.StatusBadRequest, errorBody{"not a report: " + err.Error()})
+		return encodeJSON(fiber.StatusBadRequest, newErrorBody("not a report: "+err.Error()))
 	}
 	if err := heartbeat.Validate(); err != nil {
-		return encodeJSON(fiber.StatusBadRequest, errorBody{err.Error()})
+		return encodeJSON(fiber.StatusBadRequest, newErrorBody(err.Error()))
 	}
 	if via == "" && !l.NeedsRelay(&heartbeat) {
 		return encodeJSON(fiber.StatusMisdirectedRequest, redirectBody{})
--- a/internal/api/response.go
+++ b/internal/api/response.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"drumpick/internal/messagesize"
 	"drumpick/internal/peer"
 
 	"github.com/gofiber/fiber/v2"
@@ -61,7 +62,10 @@
 	Error string `json:"error"`
 }
 
-func errorResponse(o outcome, reason string) response { return response{o, errorBody{reason}} }
+// newErrorBody returns the body of an error response. It cuts a long reason.
+func newErrorBody(reason string) errorBody { return errorBody{messagesize.Reason(reason)} }
+
+func errorResponse(o outcome, reason string) response { return response{o, newErrorBody(reason)} }
 
 // Responses that are the same for every request.
 var (
--- a/internal/operator/drains.go
+++ b/internal/operator/drains.go
@@ -18,13 +18,11 @@
 	"github.com/gofiber/fiber/v2/utils"
 )
 
-// Drains is the list of all stored drains.
-type Drains struct {
-	Drains []scheduler.DrainView `json:"drains"`
-}
-
 func (s *Server) mountDrains(app *fiber.App) {
-	app.Get("/operator/drains", func(c *fiber.Ctx) error { return sendJSON(c, s.withTimeout(s.listDrains)) })
+	app.Get("/operator/drains", func(c *fiber.Ctx) error {
+		since := utils.CopyString(c.Query("since"))
+		return sendJSON(c, s.withTimeout(func(ctx context.Context) peer.RelayReply { return s.listDrains(ctx, since) }))
+	})
 	app.Post("/operator/drains", func(c *fiber.Ctx) error {
 		return sendJSON(c, s.withTimeout(func(ctx context.Context) peer.RelayReply { return s.startDrain(ctx, c.Body()) }))
 	})
@@ -206,16 +204,19 @@
 // and OutOfService; showDrain names all.
 const maxListedNames = 3
 
-// listDrains returns all stored drains with their states. It logs and skips records that it cannot
-// decode.
-func (s *Server) listDrains(ctx context.Context) peer.RelayReply {
+// listDrains returns a page of the stored drains whose ids sort after since, with their states. It logs and
+// skips records that it cannot decode.
+func (s *Server) listDrains(ctx context.Context, since string) peer.RelayReply {
 	states, err := s.readDrainStates(ctx)
 	if err != nil {
 		return storeUnavailableResponse
 	}
-	list := Drains{Drains: []scheduler.DrainView{}}
+	drains := []scheduler.DrainView{}
 	if _, err := s.store.List(ctx, records.PrefixDrains, func(record records.KeyValue) error {
 		var spec drain.Spec
+		if strings.TrimPrefix(record.Key, records.PrefixDrains) <= since {
+			return nil
+		}
 		if err := json.Unmarshal(record.Value, &spec); err != nil {
 			slog.Error("unreadable record", "key", record.Key, "err", err)
 			return nil
@@ -225,12 +226,12 @@
 		if state != nil {
 			state.OutOfService = state.OutOfService[:min(len(state.OutOfService), maxListedNames)]
 		}
-		list.Drains = append(list.Drains, scheduler.DrainView{Spec: spec, State: state})
+		drains = append(drains, scheduler.DrainView{Spec: spec, State: state})
 		return nil
 	}); err != nil {
 		return storeUnavailableResponse
 	}
-	return okResponse(list)
+	return okResponse(drainsPage(drains))
 }
 
 // readDrainStates reads the states of all drains, by the drain's id. It skips states that it cannot
@@ -272,5 +273,6 @@
 			view.State = &state
 		}
 	}
+	cutDrain(&view)
 	return okResponse(view)
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,6 +12,7 @@
 
 	"drumpick/internal/config"
 	"drumpick/internal/drain"
+	"drumpick/internal/messagesize"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
 	"drumpick/internal/scheduler"
@@ -79,8 +80,7 @@
 	methodPlanDrain = "plan"
 )
 
-// machinesPerPage is the maximum number of machines in a response, which keeps the response well below
-// the limit of 64 KiB. Further machines follow in further pages.
+// machinesPerPage is the maximum number of machines in a response. Further machines follow in further pages.
 const machinesPerPage = 200
 
 // Mount registers the routes of operators.
@@ -133,15 +133,16 @@
 	}
 	switch r.Method {
 	case methodMachines:
-		machines, more := l.Machines(r.ID, machinesPerPage)
-		return okResponse(Machines{Machines: machines, More: more})
+		return okResponse(machinesPage(l.Machines(r.ID, machinesPerPage)))
 	case methodMachine:
 		if m, ok := l.Machine(r.ID); ok {
+			cutMachine(&m)
 			return okResponse(m)
 		}
 		return errorResponse(fiber.StatusNotFound, "there is no machine "+r.ID)
 	case methodDrain:
 		if view, ok := l.Drain(r.ID); ok {
+			cutDrain(&view)
 			return okResponse(view)
 		}
 		return noSuchDrainResponse(r.ID)
@@ -151,12 +152,6 @@
 	return errorResponse(fiber.StatusBadRequest, "unknown question")
 }
 
-// Machines is a page of machines. The name of its last machine, as since, selects the next page.
-type Machines struct {
-	Machines []scheduler.MachineView `json:"machines"`
-	More     bool                    `json:"more"`
-}
-
 // errorBody is the body of an error response.
 type errorBody struct {
 	Error string `json:"error"`
@@ -168,7 +163,7 @@
 func okResponse(v any) peer.RelayReply { return encodeJSON(fiber.StatusOK, v) }
 
 func errorResponse(status int, reason string) peer.RelayReply {
-	return encodeJSON(status, errorBody{reason})
+	return encodeJSON(status, errorBody{messagesize.Reason(reason)})
 }
 
 // encodeJSON returns a reply with v encoded as JSON, or a 503 without a body if v cannot be encoded.
--- a/internal/scheduler/drain_preview.go
+++ b/internal/scheduler/drain_preview.go
@@ -139,4 +139,7 @@
 type DrainView struct {
 	Spec  drain.Spec   `json:"drain"`
 	State *drain.State `json:"state,omitempty"`
+	// OmittedOutOfService is the number of machines out of service that are not listed because the view is
+	// limited in size.
+	OmittedOutOfService int `json:"others,omitempty"`
 }
--- a/internal/scheduler/drain_records.go
+++ b/internal/scheduler/drain_records.go
@@ -133,7 +133,7 @@
 	for _, d := range s.drains.list {
 		if d.spec.ID == id {
 			state := d.state
-			return DrainView{d.spec, &state}, true
+			return DrainView{Spec: d.spec, State: &state}, true
 		}
 	}
 	return DrainView{}, false
--- a/internal/scheduler/golden_test.go
+++ b/internal/scheduler/golden_test.go
@@ -13,7 +13,7 @@
 	goldentest.Run(t, "golden-views.json", goldentest.JSON, []goldentest.Case{
 		{Name: "machine", Value: MachineView{
 			Name: "m-000231", Type: "g8", Zone: "a", Spot: true, Addr: "10.1.0.232:9000", State: MachineUp, AgeS: 60.5,
-			Version: "1.0", TaskCount: 1, Tasks: []TaskView{task},
+			Version: "1.0", TaskCount: 1, Tasks: []TaskView{task}, OmittedTasks: 3,
 		}},
 		{Name: "task", Value: task},
 		{Name: "drain", AllowUnset: true, Value: DrainView{Spec: drain.Spec{ID: "d-1"}, State: &drain.State{Phase: drain.PhaseDraining}}},
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -20,6 +20,8 @@
 	Version   string     `json:"version,omitempty"`
 	TaskCount int        `json:"tasks"`
 	Tasks     []TaskView `json:"on_it,omitempty"`
+	// OmittedTasks is the number of tasks that are not listed because the view is limited in size.
+	OmittedTasks int `json:"others,omitempty"`
 }
 
 // TaskView is the operator's view of an attempt on a machine. RanS is how long the attempt has been
