Accept the largest requests when a peer relays them

What callers could see: a heartbeat or submission near 64 KiB that a follower cannot relay, and after three such batches a relay that is suspended for all workers. Not seen in a deployment; found while looking at what controllers tell each other.

Cause: the peer address had the users' limit, but a relayed request is longer than the one that was sent.

Change: the peer address accepts messagesize.Max and 8 KiB for the fields around it.

--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -20,6 +20,7 @@
 	"drumpick/internal/ctxtime"
 	"drumpick/internal/election"
 	"drumpick/internal/leader"
+	"drumpick/internal/messagesize"
 	"drumpick/internal/operator"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
@@ -181,7 +182,7 @@
 // newUserApp returns the server for users, workers and operators.
 func (d *daemon) newUserApp() *fiber.App {
 	connections := d.cfg.Deployment.Resources.FDLimit * userConnectionsPercent / 100
-	app := newApp(connections, config.Seconds(d.cfg.Deployment.Workers.LeaseS))
+	app := newApp(messagesize.Max, connections, config.Seconds(d.cfg.Deployment.Workers.LeaseS))
 	d.api.Mount(app)
 	if d.cfg.Options.OperatorAPI {
 		d.operators.Mount(app)
@@ -191,7 +192,7 @@
 
 // newPeerApp returns the server for the other controllers and for metrics.
 func (d *daemon) newPeerApp() *fiber.App {
-	app := newApp(d.cfg.Deployment.Resources.FDLimit/peerConnectionsDivisor, peerIdleTimeout)
+	app := newApp(peer.MaxRequestBytes, d.cfg.Deployment.Resources.FDLimit/peerConnectionsDivisor, peerIdleTimeout)
 	peer.Mount(app, d.peerHandlers())
 	app.Get("/metrics", func(c *fiber.Ctx) error {
 		metrics.WritePrometheus(c.Response().BodyWriter(), true)
--- a/cmd/drumpick/daemon_test.go
+++ b/cmd/drumpick/daemon_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"drumpick/internal/messagesize"
+
 	"github.com/gofiber/fiber/v2"
 	"github.com/valyala/fasthttp/fasthttputil"
 )
@@ -19,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	app := newApp(16, time.Minute)
+	app := newApp(messagesize.Max, 16, time.Minute)
 	app.Post("/work", func(c *fiber.Ctx) error { return c.SendStatus(201) })
 	go func() { _ = app.Listener(listener) }()
 	defer func() { _ = app.Shutdown() }()
@@ -45,7 +47,7 @@
 // stays open.
 func TestIdleConnectionIsClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		app := newApp(16, 12*time.Second)
+		app := newApp(messagesize.Max, 16, 12*time.Second)
 		app.Get("/ready", func(c *fiber.Ctx) error { return c.SendStatus(200) })
 		listener := fasthttputil.NewInmemoryListener()
 		go func() { _ = app.Server().Serve(listener) }()
--- a/cmd/drumpick/http_server.go
+++ b/cmd/drumpick/http_server.go
@@ -4,7 +4,6 @@
 	"errors"
 	"time"
 
-	"drumpick/internal/messagesize"
 	"drumpick/internal/recovery"
 
 	"github.com/gofiber/fiber/v2"
@@ -14,14 +13,14 @@
 // bufferBytes is the size of a connection's read and write buffers.
 const bufferBytes = 4096
 
-// newApp returns an HTTP server with the protocol's limits, for up to the given number of
+// newApp returns an HTTP server for request bodies of up to bodyLimit bytes and up to the given number of
 // connections, at least minConnections. It closes a connection that has been idle for idleTimeout.
 // Otherwise the connections that workers abandoned after a hang or a network partition would
 // eventually exhaust the file descriptors. A panic of a handler fails only its request, with a 500.
-func newApp(connections int, idleTimeout time.Duration) *fiber.App {
+func newApp(bodyLimit, connections int, idleTimeout time.Duration) *fiber.App {
 	app := fiber.New(fiber.Config{
 		DisableStartupMessage: true,
-		BodyLimit:             messagesize.Max,
+		BodyLimit:             bodyLimit,
 		Concurrency:           max(connections, minConnections),
 		ReadBufferSize:        bufferBytes,
 		WriteBufferSize:       bufferBytes,
--- a/internal/peer/batcher.go
+++ b/internal/peer/batcher.go
@@ -9,8 +9,8 @@
 const (
 	// maxInFlightBatches bounds the batches that are sent to one node and have no reply yet.
 	maxInFlightBatches = 4
-	// maxBatchBytes bounds the size of a batch's heartbeats, well below the request limit of 64 KiB. A
-	// larger heartbeat is a batch of its own.
+	// maxBatchBytes bounds the size of a batch's heartbeats, well below MaxRequestBytes, and below the 64 KiB
+	// that earlier versions accept. A larger heartbeat is a batch of its own.
 	maxBatchBytes = 40 << 10
 )
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"drumpick/internal/cancellation"
+	"drumpick/internal/messagesize"
 	"drumpick/internal/watermark"
 )
 
@@ -19,6 +20,13 @@
 	pathOperatorRequest = "/peer/operate"
 )
 
+// MaxRequestBytes is the maximum size of a request to a controller's peer address: a request of a user,
+// worker or operator of the largest size, as relayed, with the fields around it.
+const MaxRequestBytes = messagesize.Max + maxEnvelopeBytes
+
+// maxEnvelopeBytes bounds the size of a relayed request without its body.
+const maxEnvelopeBytes = 8 << 10
+
 // contentType is the media type of all messages.
 const contentType = "application/msgpack"
 
