Count a job's tasks by zone once per plan, pass and response

What callers could see: a drain plan, which changes nothing, or a drain keeps the leader's lock for seconds where a job with a zone constraint has thousands of tasks. Not seen in a deployment; found while looking at the leader's time for tens of thousands of tasks.

Cause: all tasks of the job were counted by zone again for each task that leaves, and for each run command of a heartbeat response.

Change: the counts are made once and kept up to date; a plan also keeps per job whether it is permitted elsewhere and whether there is room.

--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -111,7 +111,7 @@
 // addRuns adds run commands for the attempts planned for a machine to a heartbeat response, until one
 // does not fit: the attempts that follow wait for the next response.
 func (s *Scheduler) addRuns(machine *fleet.Machine, batch *fleet.CommandBatch, now time.Time) {
-	present := presentOn(machine)
+	present := s.presenceOn(machine)
 	for _, attempt := range slices.Clone(machine.Attempts()) {
 		if attempt.State() != fleet.Planned {
 			continue
@@ -122,27 +122,50 @@
 		}
 		if s.dispatch(machine, attempt, present, now) {
 			batch.TryAdd(run)
-			present = present.Add(attempt.Item.Request)
+			present.add(s.jobOf(attempt), attempt)
 		}
 	}
 }
 
-// presentOn returns the resources of a machine that are taken by the attempts that may be on it,
-// including those whose run command is in flight, but not planned ones.
-func presentOn(machine *fleet.Machine) packing.Resources {
-	present := machine.Bin.Occupied()
+// presence counts the attempts that may be on machines, including those whose run command is in flight,
+// but not planned ones, while run commands for one machine are selected. Without it, each command would
+// count all attempts of the machine and of its job again.
+type presence struct {
+	scheduler *Scheduler
+	resources packing.Resources       // of the machine that are taken
+	byZone    map[*Job]map[string]int // number of attempts by zone, of jobs with a zone constraint
+}
+
+func (s *Scheduler) presenceOn(machine *fleet.Machine) *presence {
+	p := &presence{scheduler: s, resources: machine.Bin.Occupied(), byZone: map[*Job]map[string]int{}}
 	for _, attempt := range machine.Attempts() {
 		if attempt.MayBePresent() && attempt.Item != nil {
-			present = present.Add(attempt.Item.Request)
+			p.resources = p.resources.Add(attempt.Item.Request)
 		}
 	}
-	return present
+	return p
+}
+
+// tasksByZone returns the number of a job's attempts by zone.
+func (p *presence) tasksByZone(job *Job) map[string]int {
+	if p.byZone[job] == nil {
+		p.byZone[job] = p.scheduler.tasksByZone(job, false)
+	}
+	return p.byZone[job]
+}
+
+// add counts an attempt that was just sent.
+func (p *presence) add(job *Job, attempt *fleet.Attempt) {
+	p.resources = p.resources.Add(attempt.Item.Request)
+	if counts := p.byZone[job]; counts != nil {
+		counts[attempt.Machine.Zone]++
+	}
 }
 
 // dispatch marks a planned attempt as sent if it may be sent, and reports whether it may. An attempt
 // that may not be sent is cancelled, unless its start is shed, or its machine accepts tasks and the
-// machine's record or the task's watermark is not stored yet. present is the result of presentOn.
-func (s *Scheduler) dispatch(machine *fleet.Machine, attempt *fleet.Attempt, present packing.Resources, now time.Time) bool {
+// machine's record or the task's watermark is not stored yet. present is that of the machine.
+func (s *Scheduler) dispatch(machine *fleet.Machine, attempt *fleet.Attempt, present *presence, now time.Time) bool {
 	job := s.jobOf(attempt)
 	if job != nil && s.shedsStart(job) {
 		return false
@@ -163,10 +186,8 @@
 }
 
 // mayDispatch checks the rules for job, task, machine, zone, quota and room again just before a run
-// command is sent, but not claims and held machines. It counts the attempts that may be on
-// machines, including those whose run command is in flight, but not planned ones. present is the result
-// of presentOn: a sum per attempt would take long on a machine with many small tasks.
-func (s *Scheduler) mayDispatch(attempt *fleet.Attempt, present packing.Resources, now time.Time) bool {
+// command is sent, but not claims and held machines. present is that of the attempt's machine.
+func (s *Scheduler) mayDispatch(attempt *fleet.Attempt, present *presence, now time.Time) bool {
 	job, machine, task := s.jobOf(attempt), attempt.Machine, attempt.Task.N
 	switch {
 	case job == nil, attempt.State() != fleet.Planned, !s.startable(job, now):
@@ -179,10 +200,10 @@
 		return false
 	case !job.permits(machine.Type, machine.Zone, machine.Spot):
 		return false
-	case (job.OneZone || job.SpreadZones) && !job.zoneAllowed(machine.Zone, s.tasksByZone(job, false)):
+	case (job.OneZone || job.SpreadZones) && !job.zoneAllowed(machine.Zone, present.tasksByZone(job)):
 		return false
 	case job.teamLimited && !s.withinLimit(job, s.quotaUsage.InUse(job.Team)):
 		return false
 	}
-	return machine.Bin.Capacity.Sub(present).Fits(job.request)
+	return machine.Bin.Capacity.Sub(present.resources).Fits(job.request)
 }
--- a/internal/scheduler/drain_bench_test.go
+++ b/internal/scheduler/drain_bench_test.go
@@ -105,3 +105,58 @@
 		}
 	}
 }
+
+// BenchmarkDrainOfSpreadJob measures the plan and one pass of a drain of one of two zones, in which a job
+// with a zone constraint has half of its tasks. Its time must grow with the tasks, not with their square.
+func BenchmarkDrainOfSpreadJob(b *testing.B) {
+	for _, machines := range []int{500, 1000, 2000} {
+		spec := drain.Spec{ID: "d-1", Kind: drain.KindDrain, Zone: "a"}
+		b.Run(fmt.Sprintf("plan/machines=%d", machines), func(b *testing.B) {
+			s, now := newSpreadJob(b, machines)
+			for b.Loop() {
+				if _, err := s.PreviewDrain(&spec, true, now); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("pass/machines=%d", machines), func(b *testing.B) {
+			s, now := newSpreadJob(b, machines)
+			s.SetDrain(spec, nil, 0)
+			for b.Loop() {
+				s.runDrains(now)
+			}
+		})
+	}
+}
+
+// newSpreadJob returns a scheduler with machines of four CPUs in two zones, all full with the tasks of one
+// job that is spread over the zones, and the current time.
+func newSpreadJob(b testing.TB, machines int) (*Scheduler, time.Time) {
+	old := slog.Default()
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	b.Cleanup(func() { slog.SetDefault(old) })
+	const tasksPerMachine = 4
+	cfg := &config.Config{Options: config.DefaultOptions()}
+	cfg.Deployment.Workers = config.Workers{HeartbeatS: 5, LeaseS: 24, GangWaitS: 30, GangPeerLossS: 5, CancelS: 44}
+	cfg.Deployment.Store.ValueKB, cfg.Deployment.Zones, cfg.Deployment.Teams = 8, []string{"a", "b"}, []config.Team{{Name: "team"}}
+	now := time.Unix(1_000_000, 0)
+	s := New(SettingsOf(cfg), 5, now)
+	s.SetMachineTypes([]records.MachineType{{Name: "c4", CPUs: tasksPerMachine, MemGB: 16, Price: 0.2, StartupS: 20, CacheGB: 40, FetchGBps: 0.1, Zones: cfg.Deployment.Zones}})
+	s.CheckReconciled(now)
+	s.AddJob(records.Job{
+		ID: "j-1", Team: "team", Class: "any", Shape: records.ShapeArray, Priority: records.PriorityStandard, Tasks: machines * tasksPerMachine,
+		CPUs: 1, MemGB: 1, Image: "img", EstimateS: 300, SpreadZones: true, AcceptedMS: now.UnixMilli(),
+	}, 10, now, now)
+	for i := range machines {
+		heartbeat := fleet.Heartbeat{Machine: fmt.Sprintf("m-%06d", i), Addr: "a", Type: "c4", Zone: cfg.Deployment.Zones[i%2], Incarnation: 1, FencingToken: 5}
+		empty := heartbeat
+		m, _ := s.Reconcile(&empty, true, now)
+		m.Recorded, m.Unverified = true, false
+		heartbeat.Sequence = 1
+		for n := range tasksPerMachine {
+			heartbeat.Tasks = append(heartbeat.Tasks, fleet.TaskStatus{Task: fmt.Sprint("j-1/", i*tasksPerMachine+n), Attempt: 1, Status: "running"})
+		}
+		s.Reconcile(&heartbeat, true, now)
+	}
+	return s, now
+}
--- a/internal/scheduler/drain_pass.go
+++ b/internal/scheduler/drain_pass.go
@@ -27,7 +27,7 @@
 			j.relocatingTasks, j.remainingByZone = 0, nil
 		}
 	}
-	finder := &placeFinder{scheduler: s, now: now, noRoom: map[int]bool{}, allowed: map[*Job]bool{}}
+	finder := &placeFinder{scheduler: s, now: now, noRoom: map[int]bool{}, allowed: map[*Job]bool{}, zoneCounts: map[*Job]map[string]int{}}
 	for _, m := range s.fleet.Sorted() {
 		if d, ok := m.Cordon.(*activeDrain); ok && d.evictsTasks() {
 			s.drainMachine(m, d, finder)
--- a/internal/scheduler/drain_plan.go
+++ b/internal/scheduler/drain_plan.go
@@ -20,8 +20,17 @@
 	finder     *placeFinder
 	plan       *drain.Plan
 	reserved   []reservedPlace
-	madeLate   map[*Job]bool // jobs that the drain makes late
-	lateAnyway map[*Job]bool // jobs that are late without the drain as well
+	places     map[*Job]*jobPlaces // of jobs with tasks on the machines
+	madeLate   map[*Job]bool       // jobs that the drain makes late
+	lateAnyway map[*Job]bool       // jobs that are late without the drain as well
+}
+
+// jobPlaces is what a plan knows about places for the tasks of one job. It is found once per job: the zones
+// of the tasks that stay do not change while a plan is computed, and room only decreases.
+type jobPlaces struct {
+	zones     map[string]int // tasks that stay, by zone; nil if the job has no zone constraint
+	permitted bool           // some machine outside of drains could run a task
+	noRoom    bool           // no machine has room for a task
 }
 
 // reservedPlace is room on a machine that is reserved while a plan is computed.
@@ -41,6 +50,7 @@
 		timeLeft:   timeUntil(deadline, now),
 		listTasks:  listTasks,
 		plan:       &drain.Plan{Classes: map[string]*drain.ClassPlan{}, Machines: []drain.MachinePlan{}},
+		places:     map[*Job]*jobPlaces{},
 		madeLate:   map[*Job]bool{},
 		lateAnyway: map[*Job]bool{},
 	}
@@ -100,7 +110,7 @@
 	s := p.scheduler
 	task := s.newDrainTask(j, a, p.now)
 	var target *fleet.Machine
-	task.Place, target = p.finder.findPlace(j, p.remainingZones(j))
+	task.Place, target = p.findPlace(j)
 	decision := drain.Decide(task, p.timeLeft, s.settings.HeartbeatInterval)
 	taskPlan := drain.TaskPlan{
 		Task: a.Task.String(), Class: j.Class, Action: decision.Action, Reason: decision.Reason, LostS: decision.Lost.Seconds(),
@@ -126,6 +136,29 @@
 	return taskPlan
 }
 
+// findPlace reports whether a task of a job may be placed outside of drains, and returns a machine that has
+// room for it, nil if there is none.
+func (p *drainPlanner) findPlace(j *Job) (drain.Place, *fleet.Machine) {
+	places := p.places[j]
+	if places == nil {
+		zones := p.remainingZones(j)
+		places = &jobPlaces{zones: zones, permitted: p.finder.allowedAnywhere(j, zones)}
+		p.places[j] = places
+	}
+	switch {
+	case !places.permitted:
+		return drain.NotPermitted, nil
+	case places.noRoom:
+		return drain.NoRoom, nil
+	}
+	m := p.finder.findRoom(j, places.zones)
+	if m == nil {
+		places.noRoom = true
+		return drain.NoRoom, nil
+	}
+	return drain.HasRoom, m
+}
+
 // remainingZones counts the tasks of a job by zone, without those on drained machines. It returns nil
 // if the job has no zone constraint.
 func (p *drainPlanner) remainingZones(j *Job) map[string]int {
--- a/internal/scheduler/drain_tasks.go
+++ b/internal/scheduler/drain_tasks.go
@@ -70,10 +70,7 @@
 			continue
 		}
 		t := s.newDrainTask(j, a, now)
-		zones := s.constrainedZoneCounts(j)
-		if zones != nil {
-			zones[m.Zone]-- // the task leaves
-		}
+		zones := finder.zonesWithout(j, m.Zone)
 		var target *fleet.Machine
 		t.Place, target = finder.findPlace(j, zones)
 		decision := drain.Decide(t, timeLeft, s.settings.HeartbeatInterval)
@@ -87,6 +84,7 @@
 		case drain.Move, drain.Restart:
 			if target != nil {
 				s.addClaim(j, target, now)
+				finder.addClaim(j, target)
 			}
 			s.stopForDrain(j, a, decision, now)
 		}
--- a/internal/scheduler/eligibility.go
+++ b/internal/scheduler/eligibility.go
@@ -69,8 +69,9 @@
 }
 
 // tasksByZone counts the job's attempts that may be on machines by zone, including duplicates; with
-// planned, also its planned attempts and its claims.
+// planned, also its planned attempts and its claims. It takes time in proportion to the job's attempts.
 func (s *Scheduler) tasksByZone(job *Job, planned bool) map[string]int {
+	s.zoneScans++
 	counts := map[string]int{}
 	for _, attempt := range job.attempts {
 		if attempt.MayBePresent() || planned && attempt.State() == fleet.Planned {
--- a/internal/scheduler/large_fleet_test.go
+++ b/internal/scheduler/large_fleet_test.go
@@ -200,3 +200,33 @@
 		}
 	})
 }
+
+// Guards against a drain that keeps the leader busy until leases expire: the plan and each pass counted all
+// tasks of a job with a zone constraint by zone again for each of its tasks, and so did the commands of
+// each heartbeat response. For 8,000 tasks a plan took seconds.
+func TestZonesAreCountedOncePerJob(t *testing.T) {
+	s, now := newSpreadJob(t, 50)
+	spec := drain.Spec{ID: "d-1", Kind: drain.KindDrain, Zone: "a"}
+	scansOf := func(name string, limit int, f func()) {
+		before := s.zoneScans
+		f()
+		if n := s.zoneScans - before; n > limit {
+			t.Errorf("%s counts the tasks of one job %d times, want at most %d", name, n, limit)
+		}
+	}
+	scansOf("the plan of a drain", 1, func() {
+		if plan, err := s.PreviewDrain(&spec, true, now); err != nil || plan.Total.Machines != 25 {
+			t.Errorf("got %+v, %v, want a plan of 25 machines", plan, err)
+		}
+	})
+	s.SetDrain(spec, nil, 0)
+	scansOf("a pass of a drain", 3, func() { s.runDrains(now) })
+	w := newSmallTaskWorker(t, 50)
+	job := w.addArray("j-1", 500, 0.1)
+	job.OneZone = true
+	s = w.scheduler
+	scansOf("a machine that starts 500 tasks", 10, w.step)
+	if len(w.tasks) != 500 {
+		t.Errorf("%d tasks have started, want 500", len(w.tasks))
+	}
+}
--- a/internal/scheduler/place_finder.go
+++ b/internal/scheduler/place_finder.go
@@ -18,6 +18,27 @@
 	allowed      map[*Job]bool               // cached results of allowedAnywhere
 	excluded     func(typ, zone string) bool // excluded in addition to active drains; nil: nothing
 	alsoDraining func(m *fleet.Machine) bool // machines to treat as draining; nil: none
+	zoneCounts   map[*Job]map[string]int     // cached results of zonesWithout, before it subtracts a task
+}
+
+// zonesWithout counts the tasks of a job with a zone constraint by zone, without one task in zone. It returns
+// nil for other jobs. The counts of a job are made once; the caller reports new claims by addClaim.
+func (p *placeFinder) zonesWithout(j *Job, zone string) map[string]int {
+	if _, known := p.zoneCounts[j]; !known {
+		p.zoneCounts[j] = p.scheduler.constrainedZoneCounts(j)
+	}
+	zones := maps.Clone(p.zoneCounts[j])
+	if zones != nil {
+		zones[zone]--
+	}
+	return zones
+}
+
+// addClaim counts a claim that a job has made on a machine.
+func (p *placeFinder) addClaim(j *Job, m *fleet.Machine) {
+	if zones := p.zoneCounts[j]; zones != nil {
+		zones[m.Zone]++
+	}
 }
 
 // allowedAnywhere reports whether any machine outside of drains, existing or to be rented, could
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,7 @@
 	onDemandShortage *fairshare.ShortageTracker // shortage of on-demand machines for jobs that may not use spot machines
 	freedRoom        freedRoom                  // room freed by ending tasks, for preempt
 	lastRebalance    time.Time
+	zoneScans        int // number of calls of tasksByZone, which tests bound
 
 	// Room reserved for jobs.
 	claimOwners           []*Job // jobs that have claims; until expireClaims, also jobs without claims and duplicates
