Propagate priorities and deadlines through the dependency graph in one pass

Cause: propagatePrecedence followed a new date depth first and worked through a job again for each path that brought an earlier date, under the lock of the term, also when a new leader loaded the jobs.

Change: topological order, dependents first: each job and edge that a change reaches costs once, with the same result. Jobs that are loaded, listed anew or reported together by the watch cost one pass together.

--- a/internal/dependency/graph.go
+++ b/internal/dependency/graph.go
@@ -57,6 +57,9 @@
 	dependencies []*node
 	dependents   []*node    // open jobs that depend on it
 	precedence   Precedence // of an open job, including what it inherits from its dependents
+
+	pending     bool // in Graph.pending
+	propagation propagationMark
 }
 
 // Graph holds the open jobs and their dependencies. It is not safe for concurrent use.
@@ -65,6 +68,10 @@
 	unknown  map[string]bool // see UnknownJobs
 	toCancel []string        // see ToCancel; may include jobs that are no longer open
 	changed  map[string]bool // see Changed
+	batches  int             // number of calls of Batch in progress
+	pending  []*node         // jobs whose precedence has to be recomputed at the end of the batch
+	passes   uint64          // number of passes of propagation
+	visits   int             // number of times that propagation worked through a job, which tests bound
 }
 
 // New returns an empty graph.
@@ -105,9 +112,8 @@
 	for _, dependent := range n.dependents { // these were added before this job
 		g.updateBlocked(dependent)
 	}
-	g.propagatePrecedence(n)
+	g.propagatePrecedence(append([]*node{n}, n.dependencies...)...)
 	for _, dependency := range n.dependencies {
-		g.propagatePrecedence(dependency)
 		if dependency.state == Cancelled || dependency.toCancel {
 			g.cancelWithDependents(n)
 		}
@@ -152,11 +158,9 @@
 		if i := slices.Index(dependency.dependents, n); i >= 0 {
 			dependency.dependents = slices.Delete(dependency.dependents, i, i+1)
 		}
-		if dependency.state == Open {
-			g.propagatePrecedence(dependency)
-		}
 		g.removeIfUnused(dependency)
 	}
+	g.propagatePrecedence(n.dependencies...)
 	n.dependencies = nil
 	n.toCancel, n.blocked = false, false
 	g.removeIfUnused(n)
@@ -198,45 +202,6 @@
 	}
 }
 
-// earliest returns the earlier of two times. A zero time means none: the other one is returned.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
-// subtract subtracts a duration from a time; a zero time stays zero.
-func subtract(t time.Time, d time.Duration) time.Time {
-	if t.IsZero() {
-		return t
-	}
-	return t.Add(-d)
-}
-
-// propagatePrecedence recomputes the precedence of a job from its dependents and, if it changes, that
-// of its direct and indirect dependencies.
-func (g *Graph) propagatePrecedence(first *node) {
-	for stack := []*node{first}; len(stack) > 0; {
-		n := stack[len(stack)-1]
-		stack = stack[:len(stack)-1]
-		if n.state != Open {
-			continue
-		}
-		precedence := n.job.precedence()
-		for _, dependent := range n.dependents {
-			precedence.Rank = min(precedence.Rank, dependent.precedence.Rank)
-			precedence.Deadline = earliest(precedence.Deadline, subtract(dependent.precedence.Deadline, dependent.job.Estimate))
-			precedence.LatestEnd = earliest(precedence.LatestEnd, subtract(dependent.precedence.LatestEnd, dependent.job.Estimate))
-		}
-		if precedence != n.precedence {
-			n.precedence = precedence
-			g.changed[n.job.ID] = true
-			stack = append(stack, n.dependencies...)
-		}
-	}
-}
-
 // Blocked reports whether a job has a direct dependency in a state other than Done. It is false for a
 // job that is not in the graph.
 func (g *Graph) Blocked(id string) bool {
--- a/internal/leader/failover.go
+++ b/internal/leader/failover.go
@@ -23,9 +23,11 @@
 	if err := l.loadMachineTypes(ctx, sched); err != nil {
 		return 0, err
 	}
-	revision, err = l.store.List(ctx, records.PrefixOpen, func(record records.KeyValue) error {
-		l.addJob(sched, record, now, wall)
-		return nil
+	sched.BatchJobs(func() {
+		revision, err = l.store.List(ctx, records.PrefixOpen, func(record records.KeyValue) error {
+			l.addJob(sched, record, now, wall)
+			return nil
+		})
 	})
 	if err != nil {
 		return 0, fmt.Errorf("load %s: %w", records.PrefixOpen, err)
--- a/internal/leader/heartbeat.go
+++ b/internal/leader/heartbeat.go
@@ -185,14 +185,14 @@
 	defer timeout.Stop()
 	for waiting := true; waiting && !ready() && l.leaseConfirmed(); {
 		committed := l.state.committed
-		l.state.mu.Unlock()
+		l.release()
 		l.persistSoon()
 		select {
 		case <-committed:
 		case <-timeout.C:
 			waiting = false
 		}
-		l.state.mu.Lock()
+		l.acquire()
 	}
 	return !l.state.inconsistent && l.state.scheduler.IsLatestHeartbeat(machine, incarnation, sequence) && l.contact.mayRenewLeases(time.Now())
 }
--- a/internal/leader/job_watch.go
+++ b/internal/leader/job_watch.go
@@ -66,13 +66,11 @@
 	now := time.Now()
 	w.lock()
 	defer w.unlock()
-	for _, event := range events {
-		if event.Write != "" {
-			w.addJob(w.state.scheduler, records.KeyValue{Key: event.Write, Value: event.Value, Revision: event.Revision}, now, now)
-		} else if job, ok := strings.CutPrefix(event.Delete, records.PrefixOpen); ok {
-			w.state.scheduler.CloseJob(job) // its closed record in the store holds the outcome
+	w.state.scheduler.BatchJobs(func() {
+		for _, event := range events {
+			w.applyEvent(event, now)
 		}
-	}
+	})
 	if len(events) > 0 && w.leaseConfirmed() {
 		w.state.scheduler.Replan(now)
 	}
@@ -80,6 +78,15 @@
 	w.contact.record(askedAt)
 }
 
+// applyEvent adds or closes one job. The caller must hold the lock of state.
+func (w *jobWatch) applyEvent(event records.Event, now time.Time) {
+	if event.Write != "" {
+		w.addJob(w.state.scheduler, records.KeyValue{Key: event.Write, Value: event.Value, Revision: event.Revision}, now, now)
+	} else if job, ok := strings.CutPrefix(event.Delete, records.PrefixOpen); ok {
+		w.state.scheduler.CloseJob(job) // its closed record in the store holds the outcome
+	}
+}
+
 // relist reads all open jobs from the store, adds them to the scheduler, closes the scheduler's
 // other jobs, and returns the revision of the list.
 func (w *jobWatch) relist(ctx context.Context) (revision uint64, err error) {
@@ -98,10 +105,12 @@
 		_, ok := open[job]
 		return ok
 	}
-	w.state.scheduler.CloseUnlistedJobs(isOpen, revision)
-	for _, record := range open {
-		w.addJob(w.state.scheduler, record, now, now)
-	}
+	w.state.scheduler.BatchJobs(func() {
+		w.state.scheduler.CloseUnlistedJobs(isOpen, revision)
+		for _, record := range open {
+			w.addJob(w.state.scheduler, record, now, now)
+		}
+	})
 	return revision, nil
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -34,7 +34,6 @@
 	"drumpick/internal/fleet"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
-	"drumpick/internal/recovery"
 	"drumpick/internal/scheduler"
 	"drumpick/internal/watermark"
 	"drumpick/internal/workers"
@@ -212,6 +211,7 @@
 	persistence *scheduler.Persistence // nil until loaded
 	cancelled   cancelledJobs
 	committed   chan struct{} // closed, and replaced, after each commit
+	lockedAt    time.Time     // when the lock was last acquired
 	// inconsistent is set once a holder of the lock has panicked.
 	inconsistent bool
 }
@@ -220,47 +220,6 @@
 	return state{scheduler: scheduler.New(settings, term, time.Now()), committed: make(chan struct{})}
 }
 
-// lock acquires the lock of the state. The caller must defer unlock.
-func (t *term) lock() { t.state.mu.Lock() }
-
-// unlock releases the lock of the state. It must be deferred: if the caller panics, the state may be
-// inconsistent, so unlock ends the term before it releases the lock, and the panic continues.
-func (t *term) unlock() {
-	defer t.state.mu.Unlock()
-	if cause := recover(); cause != nil {
-		t.state.inconsistent = true
-		t.resignAfterPanic()
-		panic(cause)
-	}
-}
-
-// withState calls f with the lock of the state held, and reports whether it did: it does not once a
-// panic has left the state inconsistent.
-func (t *term) withState(f func()) (called bool) {
-	t.lock()
-	defer t.unlock()
-	if t.state.inconsistent {
-		return false
-	}
-	f()
-	return true
-}
-
-// guard calls f, and reports a panic of f and ends the term. name names f in the report.
-func (t *term) guard(name string, f func()) {
-	if !recovery.Call(name, f) {
-		t.resignAfterPanic()
-	}
-}
-
-// resignAfterPanic ends the term. The next term, of this or another controller, loads its state from the
-// store again. Without it, a leader would continue with a state that a panic has left inconsistent, or
-// without one of its loops.
-func (t *term) resignAfterPanic() {
-	t.closed.Store(true)
-	t.election.Resign()
-}
-
 // persistSoon triggers the persister before its next round is due. It does not block.
 func (t *term) persistSoon() {
 	select {
--- a/internal/scheduler/dependencies.go
+++ b/internal/scheduler/dependencies.go
@@ -25,6 +25,13 @@
 	s.applyDependencyChanges()
 }
 
+// BatchJobs calls f, which adds and closes jobs, and updates the jobs that inherit priorities and deadlines
+// only afterwards, once. Without it, the load of a large dependency graph could take longer than leases.
+func (s *Scheduler) BatchJobs(f func()) {
+	s.dependencies.Batch(f)
+	s.applyDependencyChanges()
+}
+
 // maxDeadlineFactor returns the largest multiple of the deadline that any objective allows jobs of
 // the class to take; at least 1.
 func (s *Scheduler) maxDeadlineFactor(class string) float64 {
