Bound the places that a machine has for a gang

Cause: secondsUntilPlaces subtracts a task's resources until they do not fit, which never happens for 0.

Test: TestPlacesOfSmallestTasksAreBounded.

--- a/internal/scheduler/reservations.go
+++ b/internal/scheduler/reservations.go
@@ -141,7 +141,8 @@
 		if !job.OneZone {
 			zone = reservation.AllZones
 		}
-		byZone[zone] = append(byZone[zone], s.secondsUntilPlaces(job, machine, now)...)
+		places := s.secondsUntilPlaces(job, machine, job.pending()+committed[zone], now)
+		byZone[zone] = append(byZone[zone], places...)
 	}
 	var zones []reservation.Zone
 	for name, freeAfter := range byZone {
@@ -192,7 +193,7 @@
 		if job.reservedZone != reservation.AllZones && machine.Zone != job.reservedZone || !s.couldHost(job, machine, now) {
 			continue
 		}
-		for _, seconds := range s.secondsUntilPlaces(job, machine, now) {
+		for _, seconds := range s.secondsUntilPlaces(job, machine, job.pending(), now) {
 			if seconds > 0 && claimedBefore[machine] {
 				seconds /= 2
 			}
--- a/internal/scheduler/reservations_test.go
+++ b/internal/scheduler/reservations_test.go
@@ -93,3 +93,24 @@
 		}
 	})
 }
+
+// Guards against a leader that never leaves a loop and takes all memory: for a gang that needs no CPUs, GPUs
+// and memory, a machine seemed to have places without end. A machine has no more places than the gang has
+// tasks, and no more than its status can list.
+func TestPlacesOfSmallestTasksAreBounded(t *testing.T) {
+	for _, test := range []struct {
+		tasks int
+		cpus  float64
+		most  int
+	}{{2, 0, 2}, {2, 5e-324, 2}, {100_000, 0, 1000}, {100_000, 0.0001, 1000}, {3, 40, 2}} {
+		w := newSmallTaskWorker(t, 50)
+		w.step() // the machine becomes known
+		gang := w.scheduler.AddJob(records.Job{
+			ID: "j-1", Team: "team", Shape: records.ShapeGang, Priority: records.PriorityUrgent, Tasks: test.tasks, CPUs: test.cpus, MemGB: test.cpus, Image: "img",
+		}, 10, w.now, w.now)
+		places := w.scheduler.secondsUntilPlaces(gang, w.machine, gang.pending(), w.now)
+		if len(places) > test.most || len(places) == 0 {
+			t.Errorf("%d tasks of %g CPUs: got %d places, want 1 to %d", test.tasks, test.cpus, len(places), test.most)
+		}
+	}
+}
--- a/internal/scheduler/room_forecast.go
+++ b/internal/scheduler/room_forecast.go
@@ -40,12 +40,12 @@
 
 // secondsUntilPlaces estimates in how many seconds a machine will have unclaimed room for one, two
 // and more tasks of the job if no other tasks are placed there: one ascending value for each task
-// that fits.
-func (s *Scheduler) secondsUntilPlaces(j *Job, m *fleet.Machine, now time.Time) []float64 {
+// that fits, up to limit. Without the limit, the places for very small tasks would be many.
+func (s *Scheduler) secondsUntilPlaces(j *Job, m *fleet.Machine, limit int, now time.Time) []float64 {
 	var seconds []float64
 	free := m.Bin.Capacity.Sub(m.Bin.Used()).Sub(m.Bin.Reserved())
 	for _, e := range append([]expectedEnd{{}}, s.expectedEnds(m, now)...) {
-		for free = free.Add(e.room); free.Fits(j.request); free = free.Sub(j.request) {
+		for free = free.Add(e.room); len(seconds) < limit && free.Fits(j.request); free = free.Sub(j.request) {
 			seconds = append(seconds, e.seconds)
 		}
 	}
