Guard the panic test's hook by the cluster's lock

Cause: TestPanicOfLeaderEndsItsTermOnly set a function that the controllers' loops read: a data race of the test, reported in three of three runs under the race detector.

--- a/internal/simulation/panics_test.go
+++ b/internal/simulation/panics_test.go
@@ -17,7 +17,10 @@
 }
 
 func (o *observedCloud) List(ctx context.Context) ([]autoscaler.CloudMachine, error) {
-	if f := o.cluster.beforeCloudList; f != nil {
+	o.cluster.mu.Lock()
+	f := o.cluster.beforeCloudList
+	o.cluster.mu.Unlock()
+	if f != nil {
 		f(o.controller)
 	}
 	return o.CloudClient.List(ctx)
@@ -53,10 +56,16 @@
 // panicOfLeader waits until the leader's next read of the machine list panics, and returns its index.
 func (c *cluster) panicOfLeader() int {
 	panicked := make(chan int, 1)
-	c.beforeCloudList = func(controller int) {
-		c.beforeCloudList = nil
+	c.setBeforeCloudList(func(controller int) {
+		c.setBeforeCloudList(nil)
 		panicked <- controller
 		panic("injected")
-	}
+	})
 	return <-panicked
 }
+
+func (c *cluster) setBeforeCloudList(f func(controller int)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beforeCloudList = f
+}
