--- a/internal/api/relay_routes.go
+++ b/internal/api/relay_routes.go
@@ -73,9 +73,10 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			// The reply in case of a panic, which must not fail the batch's other heartbeats.
-			reply.Replies[i] = encodeJSON(fiber.StatusServiceUnavailable, redirectBody{})
-			recovery.Call("relayed heartbeat", func() { reply.Replies[i] = s.handleHeartbeatAsLeader(body, batch.From) })
+			// A panic must not fail the batch's other heartbeats.
+			if !recovery.Call("relayed heartbeat", func() { reply.Replies[i] = s.handleHeartbeatAsLeader(body, batch.From) }) {
+				reply.Replies[i] = encodeJSON(fiber.StatusServiceUnavailable, redirectBody{})
+			}
 		}()
 	}
 	wg.Wait()
--- a/internal/messagesize/messagesize.go
+++ b/internal/messagesize/messagesize.go
@@ -2,24 +2,15 @@
 package messagesize
 
 import (
-	"encoding/json"
-	"math"
 	"strings"
+
+	"drumpick/internal/records"
 )
 
 // Max is the protocol's limit, in bytes, on a request body and on a line of a response. A response body
 // is a single line.
 const Max = 64 << 10
 
-// Of returns the size of a value's JSON encoding in bytes; math.MaxInt if it cannot be encoded.
-func Of(value any) int {
-	raw, err := json.Marshal(value)
-	if err != nil {
-		return math.MaxInt
-	}
-	return len(raw)
-}
-
 // maxReasonBytes bounds the text of an error response. A reason may quote what the caller sent, and each byte
 // may take several bytes in JSON.
 const maxReasonBytes = 1000
@@ -36,7 +27,7 @@
 // separator, take at most budget bytes together. It encodes no item beyond the first that does not fit.
 func FitPrefix[T any](items []T, budget int) int {
 	for i := range items {
-		size := Of(items[i])
+		size := records.EncodedSize(items[i])
 		if size >= budget {
 			return i
 		}
--- a/internal/operator/drain_plan.go
+++ b/internal/operator/drain_plan.go
@@ -10,6 +10,7 @@
 	"drumpick/internal/drain"
 	"drumpick/internal/messagesize"
 	"drumpick/internal/peer"
+	"drumpick/internal/records"
 	"drumpick/internal/scheduler"
 
 	"github.com/gofiber/fiber/v2"
@@ -69,7 +70,7 @@
 	cutClasses(plan)
 	// The sizes are those of the final page, in which "more" may be set.
 	plan.Machines, plan.Truncated = []drain.MachinePlan{}, true
-	budget := messagesize.Max - messagesize.Of(plan)
+	budget := messagesize.Max - records.EncodedSize(plan)
 	fit := messagesize.FitPrefix(machines, budget)
 	if fit == 0 && len(machines) > 0 {
 		cutTasks(&machines[0], budget)
@@ -87,7 +88,7 @@
 	names := slices.Sorted(maps.Keys(plan.Classes))
 	budget, omitted := maxClassBytes, 0
 	for _, name := range names {
-		size := messagesize.Of(name) + len(":,") + messagesize.Of(plan.Classes[name])
+		size := records.EncodedSize(name) + len(":,") + records.EncodedSize(plan.Classes[name])
 		if budget -= size; budget < 0 {
 			delete(plan.Classes, name)
 			omitted++
@@ -103,6 +104,6 @@
 func cutTasks(machine *drain.MachinePlan, budget int) {
 	tasks := machine.Tasks
 	machine.Tasks, machine.OmittedTasks = nil, len(tasks)
-	fit := messagesize.FitPrefix(tasks, budget-messagesize.Of(machine)-len(`"tasks":[],`))
+	fit := messagesize.FitPrefix(tasks, budget-records.EncodedSize(machine)-len(`"tasks":[],`))
 	machine.Tasks, machine.OmittedTasks = tasks[:fit], len(tasks)-fit
 }
--- a/internal/operator/drain_plan_test.go
+++ b/internal/operator/drain_plan_test.go
@@ -117,7 +117,7 @@
 		plan.Classes[fmt.Sprintf("%0200d", i)] = &drain.ClassPlan{Late: 1}
 	}
 	cutToPage(plan, "m-1")
-	if size := messagesize.Of(plan); size > messagesize.Max || len(plan.Machines) != 1 || plan.Machines[0].Machine != "m-2" {
+	if size := records.EncodedSize(plan); size > messagesize.Max || len(plan.Machines) != 1 || plan.Machines[0].Machine != "m-2" {
 		t.Errorf("the page of %v has %d bytes, want m-2 in at most %d", plan.Machines, size, messagesize.Max)
 	}
 	if len(plan.Classes) == 0 || len(plan.Warnings) != 1 {
--- a/internal/operator/pages.go
+++ b/internal/operator/pages.go
@@ -2,6 +2,7 @@
 
 import (
 	"drumpick/internal/messagesize"
+	"drumpick/internal/records"
 	"drumpick/internal/scheduler"
 )
 
@@ -20,13 +21,13 @@
 // machinesPage returns the page of the first machines that fit into a response, at least one. more reports
 // whether others follow machines.
 func machinesPage(machines []scheduler.MachineView, more bool) Machines {
-	fit := fitAtLeastOne(machines, messagesize.Max-messagesize.Of(Machines{Machines: []scheduler.MachineView{}}))
+	fit := fitAtLeastOne(machines, messagesize.Max-records.EncodedSize(Machines{Machines: []scheduler.MachineView{}}))
 	return Machines{Machines: machines[:fit], More: more || fit < len(machines)}
 }
 
 // drainsPage returns the page of the first drains that fit into a response, at least one.
 func drainsPage(drains []scheduler.DrainView) Drains {
-	fit := fitAtLeastOne(drains, messagesize.Max-messagesize.Of(Drains{Drains: []scheduler.DrainView{}, More: true}))
+	fit := fitAtLeastOne(drains, messagesize.Max-records.EncodedSize(Drains{Drains: []scheduler.DrainView{}, More: true}))
 	return Drains{Drains: drains[:fit], More: fit < len(drains)}
 }
 
@@ -41,7 +42,7 @@
 func cutMachine(view *scheduler.MachineView) {
 	tasks := view.Tasks
 	view.Tasks, view.OmittedTasks = nil, len(tasks)
-	fit := messagesize.FitPrefix(tasks, messagesize.Max-messagesize.Of(view)-len(`"on_it":[],`))
+	fit := messagesize.FitPrefix(tasks, messagesize.Max-records.EncodedSize(view)-len(`"on_it":[],`))
 	view.Tasks, view.OmittedTasks = tasks[:fit], len(tasks)-fit
 }
 
@@ -55,6 +56,6 @@
 	machines := state.OutOfService
 	view.State = &state
 	state.OutOfService, view.OmittedOutOfService = nil, len(machines)
-	fit := messagesize.FitPrefix(machines, messagesize.Max-messagesize.Of(view)-len(`"in_hand":[],`))
+	fit := messagesize.FitPrefix(machines, messagesize.Max-records.EncodedSize(view)-len(`"in_hand":[],`))
 	state.OutOfService, view.OmittedOutOfService = machines[:fit], len(machines)-fit
 }
--- a/internal/operator/pages_test.go
+++ b/internal/operator/pages_test.go
@@ -110,7 +110,7 @@
 	}
 	view := scheduler.DrainView{Spec: drain.Spec{ID: "d-1"}, State: state}
 	cutDrain(&view)
-	if size := messagesize.Of(view); size > messagesize.Max {
+	if size := records.EncodedSize(view); size > messagesize.Max {
 		t.Errorf("the view has %d bytes, want at most %d", size, messagesize.Max)
 	}
 	if len(view.State.OutOfService)+view.OmittedOutOfService != machines || view.OmittedOutOfService == 0 || len(state.OutOfService) != machines {
--- a/internal/scheduler/message_size_test.go
+++ b/internal/scheduler/message_size_test.go
@@ -62,7 +62,7 @@
 	w.now = w.now.Add(500 * time.Millisecond)
 	w.scheduler.Tick(w.now, true)
 	for _, call := range w.scheduler.TakeUrgentCommands() {
-		w.checkSize("direct command", messagesize.Of(call.Body))
+		w.checkSize("direct command", records.EncodedSize(call.Body))
 		w.execute(call.Body.Commands)
 	}
 	for _, task := range w.tasks {
