Review: a plan for large arrays of small tasks takes more memory than a controller has

Cause: for each task of which more than 100 fit a machine, a plan of the rentals keeps an item of its own.

Ten arrays of 100,000 tasks come at once; the platform kills a controller that holds more than its 125 MB.

--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -24,6 +24,7 @@
 
 // cases are the cases by name. A case reports whether the rule was broken, or an error if it could not run.
 var cases = map[string]func(d *deployment) (broken bool, err error){
+	"large-arrays":              largeArrays,
 	"report-with-new-field":     reportWithNewField,
 	"submission-with-new-field": submissionWithNewField,
 }
