--- a/client/request.go
+++ b/client/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +9,7 @@
 
 	"drumpick/internal/ctxtime"
 	"drumpick/internal/httpclient"
+	"drumpick/internal/jsoncodec"
 )
 
 // requestJSON sends a request, with retries, and decodes the response into out. Errors are prefixed with
@@ -113,7 +113,7 @@
 	if body == nil {
 		return nil, nil
 	}
-	return json.Marshal(body)
+	return jsoncodec.Marshal(body)
 }
 
 // errorReason returns the error text of an error response.
@@ -121,14 +121,14 @@
 	var body struct {
 		Error string `json:"error"`
 	}
-	if json.Unmarshal(response.Body, &body) != nil || body.Error == "" {
+	if jsoncodec.Unmarshal(response.Body, &body) != nil || body.Error == "" {
 		return fmt.Sprintf("no reason given (status %d)", response.Status)
 	}
 	return body.Error
 }
 
 func decode(response httpclient.Response, out any) error {
-	if err := json.Unmarshal(response.Body, out); err != nil {
+	if err := jsoncodec.Unmarshal(response.Body, out); err != nil {
 		return fmt.Errorf("decode response: %w", err)
 	}
 	return nil
--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -19,6 +18,7 @@
 	"drumpick/internal/config"
 	"drumpick/internal/ctxtime"
 	"drumpick/internal/election"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/leader"
 	"drumpick/internal/messagesize"
 	"drumpick/internal/operator"
@@ -282,7 +282,7 @@
 func (d *daemon) readMachineTypes(ctx context.Context) {
 	if record, err := d.store.Get(ctx, records.KeyMachineTypes); err == nil && record != nil {
 		var stored records.MachineTypes
-		if json.Unmarshal(record.Value, &stored) == nil && len(stored.Types) > 0 {
+		if jsoncodec.Unmarshal(record.Value, &stored) == nil && len(stored.Types) > 0 {
 			d.api.SetMachineTypes(stored.Types)
 		}
 	}
--- a/cmd/drumpickctl/main.go
+++ b/cmd/drumpickctl/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +16,7 @@
 	"text/tabwriter"
 
 	"drumpick/client"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/localcluster"
 
 	"github.com/spf13/cobra"
@@ -199,7 +199,7 @@
 // printOutput writes v as JSON with --output json, else what table writes, with its tab-separated columns aligned.
 func (f *globalFlags) printOutput(out io.Writer, v any, table func(w io.Writer)) error {
 	if f.output == "json" {
-		e := json.NewEncoder(out)
+		e := jsoncodec.NewEncoder(out)
 		e.SetIndent("", "  ")
 		return e.Encode(v)
 	}
--- a/internal/api/dependencies.go
+++ b/internal/api/dependencies.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"time"
 
 	"drumpick/internal/config"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
 )
@@ -264,7 +264,7 @@
 	var job struct {
 		Dependencies []string `json:"prereqs"`
 	}
-	_ = json.Unmarshal(openRecord.Value, &job)
+	_ = jsoncodec.Unmarshal(openRecord.Value, &job)
 	return job.Dependencies
 }
 
@@ -273,7 +273,7 @@
 func decodeOpen(openRecord *records.KeyValue) records.Job {
 	var job records.Job
 	if openRecord != nil {
-		_ = json.Unmarshal(openRecord.Value, &job)
+		_ = jsoncodec.Unmarshal(openRecord.Value, &job)
 	}
 	return job
 }
--- a/internal/api/heartbeats.go
+++ b/internal/api/heartbeats.go
@@ -4,10 +4,10 @@
 	"time"
 
 	"drumpick/internal/fleet"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/peer"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/mailru/easyjson"
 )
 
 // redirectBody is the body of a response that redirects a worker to another controller. If Leader is
@@ -63,7 +63,7 @@
 		return encodeJSON(fiber.StatusMisdirectedRequest, redirectBody{})
 	}
 	var heartbeat fleet.Heartbeat
-	if err := easyjson.Unmarshal(body, &heartbeat); err != nil {
+	if err := jsoncodec.Unmarshal(body, &heartbeat); err != nil {
 		return encodeJSON(fiber.StatusBadRequest, newErrorBody("not a report: "+err.Error()))
 	}
 	if err := heartbeat.Validate(); err != nil {
--- a/internal/api/poll.go
+++ b/internal/api/poll.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"time"
 
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
 )
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	var job records.ClosedJob
-	if err := json.Unmarshal(closedRecord.Value, &job); err != nil {
+	if err := jsoncodec.Unmarshal(closedRecord.Value, &job); err != nil {
 		return nil, err
 	}
 	s.jobs.addClosed(id, job, true)
--- a/internal/api/response.go
+++ b/internal/api/response.go
@@ -1,13 +1,11 @@
 package api
 
 import (
-	"encoding/json"
-
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/messagesize"
 	"drumpick/internal/peer"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/mailru/easyjson"
 )
 
 // outcome is the result of a user's request. Each outcome corresponds to one HTTP status.
@@ -80,13 +78,7 @@
 
 // encodeJSON returns a reply with v encoded as JSON, or a 503 without a body if v cannot be encoded.
 func encodeJSON(status int, v any) peer.RelayReply {
-	var raw []byte
-	var err error
-	if m, ok := v.(easyjson.Marshaler); ok {
-		raw, err = easyjson.Marshal(m)
-	} else {
-		raw, err = json.Marshal(v)
-	}
+	raw, err := jsoncodec.Marshal(v)
 	if err != nil {
 		return peer.RelayReply{Status: fiber.StatusServiceUnavailable}
 	}
--- a/internal/api/validate.go
+++ b/internal/api/validate.go
@@ -1,12 +1,12 @@
 package api
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
 
 	"drumpick/internal/config"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 )
 
@@ -33,7 +33,7 @@
 	SaveS       *float64 `json:"flush_s"`
 	DeadlineS   *float64 `json:"due_s"`
 
-	Dependencies json.RawMessage `json:"prereqs"`
+	Dependencies jsoncodec.RawMessage `json:"prereqs"`
 }
 
 // submission is a well-formed job as submitted.
@@ -77,10 +77,10 @@
 
 func decodeSubmission(body []byte) (*submissionFields, error) {
 	var fields submissionFields
-	if err := json.Unmarshal(body, &fields); err != nil {
-		var typeErr *json.UnmarshalTypeError
+	if err := jsoncodec.Unmarshal(body, &fields); err != nil {
+		var typeErr *jsoncodec.TypeError
 		if errors.As(err, &typeErr) && typeErr.Field != "" {
-			return nil, errors.New(typeErr.Field + " has the wrong type or is out of range")
+			return nil, typeErr
 		}
 		return nil, errors.New("the body is not a JSON object")
 	}
@@ -184,12 +184,12 @@
 
 // parseDependencies returns the ids in a submission's list of dependencies, without duplicates, or the
 // reason why the list is invalid. id is the submitted job's own id.
-func parseDependencies(raw json.RawMessage, id string) (ids []string, reason string) {
+func parseDependencies(raw jsoncodec.RawMessage, id string) (ids []string, reason string) {
 	if len(raw) == 0 || string(raw) == "null" {
 		return nil, ""
 	}
 	var list []any
-	if json.Unmarshal(raw, &list) != nil {
+	if jsoncodec.Unmarshal(raw, &list) != nil {
 		return nil, "prereqs is not a list of job ids"
 	}
 	for _, v := range list {
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -16,6 +15,7 @@
 
 	"drumpick/internal/autoscaler"
 	"drumpick/internal/httpclient"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 
 	"golang.org/x/time/rate"
@@ -90,7 +90,7 @@
 		if out == nil {
 			return nil
 		}
-		if err := json.Unmarshal(raw, out); err != nil {
+		if err := jsoncodec.Unmarshal(raw, out); err != nil {
 			return fmt.Errorf("%w: %v", autoscaler.ErrUnexpected, err)
 		}
 		return nil
@@ -98,7 +98,7 @@
 		return autoscaler.ErrUnavailable
 	case http.StatusServiceUnavailable:
 		var response errorResponse
-		_ = json.Unmarshal(raw, &response) // a 503 without a text means ErrUnavailable
+		_ = jsoncodec.Unmarshal(raw, &response) // a 503 without a text means ErrUnavailable
 		if response.Error == noCapacity {
 			return autoscaler.ErrNoCapacity
 		}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
@@ -23,6 +22,7 @@
 
 	"drumpick/internal/config"
 	"drumpick/internal/ctxtime"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 )
 
@@ -148,7 +148,7 @@
 // decodeLeader decodes the holder of the leader key. An unreadable value yields an empty node.
 func decodeLeader(record *records.KeyValue) records.Leader {
 	var holder records.Leader
-	_ = json.Unmarshal(record.Value, &holder)
+	_ = jsoncodec.Unmarshal(record.Value, &holder)
 	return holder
 }
 
--- a/internal/finishedtasks/tracker.go
+++ b/internal/finishedtasks/tracker.go
@@ -3,10 +3,10 @@
 package finishedtasks
 
 import (
-	"encoding/json"
 	"iter"
 	"slices"
 
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 )
 
@@ -143,7 +143,7 @@
 func (t *Tracker) writePart(job Job, part int) {
 	chunk, from, to := t.layout.span(part, job.TaskCount())
 	done := job.DoneTasks()
-	raw, err := json.Marshal(records.FormatRanges(func(i int) bool {
+	raw, err := jsoncodec.Marshal(records.FormatRanges(func(i int) bool {
 		return i >= from && isSet(done, chunk*t.layout.ChunkTasks+i)
 	}, to))
 	if err == nil {
@@ -155,7 +155,7 @@
 // old record is removed once the new one is stored. If both had the same id, a controller of an
 // earlier version that takes over in between could lose tasks: it keeps only the first of two records
 // with the same id.
-func (t *Tracker) putRecord(job string, part int, raw json.RawMessage, maxBytes int) {
+func (t *Tracker) putRecord(job string, part int, raw jsoncodec.RawMessage, maxBytes int) {
 	r := t.recordsOf(job)
 	for {
 		id := r.ids[part]
--- a/internal/fleet/golden_test.go
+++ b/internal/fleet/golden_test.go
@@ -1,21 +1,17 @@
 package fleet
 
 import (
+	"encoding/json"
 	"testing"
 
 	"drumpick/internal/goldentest"
-
-	"github.com/mailru/easyjson"
+	"drumpick/internal/jsoncodec"
 )
 
 // The encodings of the worker protocol do not change: heartbeats, their responses and direct
 // commands.
 func TestGolden(t *testing.T) {
-	fast := goldentest.Codec{
-		Tag:    "json",
-		Encode: func(v any) ([]byte, error) { return easyjson.Marshal(v.(easyjson.Marshaler)) },
-		Decode: func(raw []byte, v any) error { return easyjson.Unmarshal(raw, v.(easyjson.Unmarshaler)) },
-	}
+	standard := goldentest.Codec{Tag: "json", Encode: json.Marshal, Decode: jsoncodec.Unmarshal}
 	noticeS, graceS := 12.5, 4.0
 	commands := []Command{{Verb: VerbKill, Task: "j-412/3", Attempt: 2, GraceS: &graceS}}
 	heartbeats := []goldentest.Case{
@@ -29,10 +25,10 @@
 		{Name: "answer without orders", AllowUnset: true, Value: HeartbeatResponse{FencingToken: 41, Commands: []Command{}}},
 		{Name: "order", Value: commands[0]},
 	}
-	// Both codecs use the same encoding. Controllers use easyjson, the workers of the local cluster
-	// the standard library, also for GET /status.
-	t.Run("easyjson", func(t *testing.T) { goldentest.Run(t, "golden-reports.json", fast, heartbeats) })
-	t.Run("standard library", func(t *testing.T) { goldentest.Run(t, "golden-reports.json", goldentest.JSON, heartbeats) })
+	// The generated encoders and the standard library, which fiber uses for GET /status of the workers
+	// of the local cluster, encode alike.
+	t.Run("easyjson", func(t *testing.T) { goldentest.Run(t, "golden-reports.json", goldentest.JSON, heartbeats) })
+	t.Run("standard library", func(t *testing.T) { goldentest.Run(t, "golden-reports.json", standard, heartbeats) })
 	goldentest.Run(t, "golden-orders.json", goldentest.JSON, []goldentest.Case{
 		{Name: "direct command", Value: CommandRequest{FencingToken: 41, Incarnation: 1, Commands: commands}},
 		{Name: "verbs", Direction: goldentest.WriteOnly, Value: []string{VerbRun, VerbKill, VerbReap}},
--- a/internal/goldentest/golden.go
+++ b/internal/goldentest/golden.go
@@ -19,6 +19,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"drumpick/internal/jsoncodec"
 )
 
 var update = flag.Bool("update-golden", false, "rewrite the golden files with the current encodings")
@@ -162,8 +164,8 @@
 	Decode func(raw []byte, v any) error // v is a pointer
 }
 
-// JSON is the codec of the standard library.
-var JSON = Codec{"json", json.Marshal, json.Unmarshal}
+// JSON is the codec of all JSON messages and records.
+var JSON = Codec{"json", jsoncodec.Marshal, jsoncodec.Unmarshal}
 
 // Direction says whether the code under test decodes a value, encodes it, or both.
 type Direction int
@@ -185,7 +187,7 @@
 }
 
 // Run compares each case with its entry of a golden file, in its own subtest: the value must encode to exactly the
-// entry's bytes, and the entry must decode to the value. A case's Direction can omit one of the two. A value with unset
+// entry's bytes, and the entry must decode to the value, also with further JSON members (see CheckNames). A case's Direction can omit one of the two. A value with unset
 // fields is a test error unless AllowUnset is set. The entry
 // "NAME, zero" holds the zero value of a struct and shows which fields are omitted when empty; cases with AllowUnset
 // or ReadOnly have no such entry.
@@ -230,6 +232,8 @@
 		t.Errorf("%s: %v", name, err)
 	} else if got := decoded.Elem().Interface(); !reflect.DeepEqual(got, value) {
 		t.Errorf("%s decodes to\n     %+v\nwant %+v", name, got, value)
+	} else if isJSON {
+		CheckNames(t, c, name, golden, value)
 	}
 }
 
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -3,11 +3,12 @@
 package httpclient
 
 import (
-	"encoding/json"
 	"net"
 	"strconv"
 	"time"
 
+	"drumpick/internal/jsoncodec"
+
 	"github.com/valyala/fasthttp"
 )
 
@@ -110,7 +111,7 @@
 	var raw []byte
 	if body != nil {
 		var err error
-		if raw, err = json.Marshal(body); err != nil {
+		if raw, err = jsoncodec.Marshal(body); err != nil {
 			return 0, nil, err
 		}
 	}
--- a/internal/jobspec/jobspec.go
+++ b/internal/jobspec/jobspec.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	_ "embed"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"sync"
 
 	"drumpick/client"
+	"drumpick/internal/jsoncodec"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
@@ -195,7 +195,7 @@
 		return fmt.Errorf("line %d: %w", node.Line, err)
 	}
 	// The schema library accepts only values decoded from JSON.
-	raw, err := json.Marshal(decoded)
+	raw, err := jsoncodec.Marshal(decoded)
 	if err != nil {
 		return fmt.Errorf("line %d: value cannot be represented in JSON: %w", node.Line, err)
 	}
--- a/internal/leader/attestation_query.go
+++ b/internal/leader/attestation_query.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"time"
 
 	"drumpick/internal/config"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
 	"drumpick/internal/watermark"
@@ -59,7 +59,7 @@
 // none of them has observed an attestation. A failed read counts as false.
 func (a *attestor) storedAttestationHolds(ctx context.Context, record *records.KeyValue) bool {
 	var stored watermark.StoredAttestation
-	_ = json.Unmarshal(record.Value, &stored) // an unreadable record has term 0, which never holds
+	_ = jsoncodec.Unmarshal(record.Value, &stored) // an unreadable record has term 0, which never holds
 	_, _, startedAt := a.store.Health()
 	maxClockError := time.Duration(a.cfg.Deployment.MaxClockErrorMS * float64(time.Millisecond))
 	holdoff := a.relaxationHoldoff() - config.MaxDrift(a.relaxationHoldoff())
@@ -91,6 +91,6 @@
 // without watermarks and without a node name.
 func decodeLeaderChange(event records.Event) watermark.LeaderChange {
 	var holder records.Leader
-	_ = json.Unmarshal(event.Value, &holder)
+	_ = jsoncodec.Unmarshal(event.Value, &holder)
 	return watermark.LeaderChange{Term: event.Revision, KeepsWatermarks: holder.Watermarks, Node: holder.Node}
 }
--- a/internal/leader/commit_conflict.go
+++ b/internal/leader/commit_conflict.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"reflect"
@@ -10,6 +9,7 @@
 	"strings"
 
 	"drumpick/internal/ctxtime"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 	"drumpick/internal/scheduler"
 )
@@ -92,12 +92,12 @@
 	if op.Delete != "" || record == nil {
 		return (op.Delete != "") == (record == nil)
 	}
-	raw, err := json.Marshal(op.Value)
+	raw, err := jsoncodec.Marshal(op.Value)
 	if err != nil {
 		return false
 	}
 	var written, found any
-	if json.Unmarshal(raw, &written) != nil || json.Unmarshal(record.Value, &found) != nil {
+	if jsoncodec.Unmarshal(raw, &written) != nil || jsoncodec.Unmarshal(record.Value, &found) != nil {
 		return false
 	}
 	return reflect.DeepEqual(written, found)
--- a/internal/leader/dependencies.go
+++ b/internal/leader/dependencies.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"drumpick/internal/ctxtime"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 
 	"golang.org/x/time/rate"
@@ -96,7 +96,7 @@
 	}
 	d.withState(func() {
 		var closed records.ClosedJob
-		if record == nil || json.Unmarshal(record.Value, &closed) != nil {
+		if record == nil || jsoncodec.Unmarshal(record.Value, &closed) != nil {
 			// The job may be open and not yet reported by the watch.
 			*absent = append(*absent, job)
 			return
--- a/internal/leader/drains.go
+++ b/internal/leader/drains.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"strings"
 	"time"
 
 	"drumpick/internal/drain"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 	"drumpick/internal/scheduler"
 )
@@ -20,7 +20,7 @@
 	revisions := map[string]uint64{}
 	_, err := l.store.List(ctx, records.PrefixDrainState, func(record records.KeyValue) error {
 		var state drain.State
-		if err := json.Unmarshal(record.Value, &state); err != nil {
+		if err := jsoncodec.Unmarshal(record.Value, &state); err != nil {
 			slog.Error("unreadable record", "key", record.Key, "err", err)
 			return nil
 		}
--- a/internal/leader/failover.go
+++ b/internal/leader/failover.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"time"
 
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 	"drumpick/internal/scheduler"
 )
@@ -60,7 +60,7 @@
 		return nil
 	}
 	var stored records.MachineTypes
-	if json.Unmarshal(record.Value, &stored) == nil {
+	if jsoncodec.Unmarshal(record.Value, &stored) == nil {
 		sched.SetMachineTypes(stored.Types)
 	}
 	return nil
--- a/internal/leader/job_watch.go
+++ b/internal/leader/job_watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 	"time"
 
 	"drumpick/internal/ctxtime"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 	"drumpick/internal/scheduler"
 )
@@ -118,7 +118,7 @@
 // state of earlier terms is loaded, the caller must hold the lock of state.
 func (t *term) addJob(sched *scheduler.Scheduler, record records.KeyValue, now, wall time.Time) {
 	var job records.Job
-	if err := json.Unmarshal(record.Value, &job); err != nil || records.OpenKey(job.ID) != record.Key || job.Tasks <= 0 {
+	if err := jsoncodec.Unmarshal(record.Value, &job); err != nil || records.OpenKey(job.ID) != record.Key || job.Tasks <= 0 {
 		slog.Error("unreadable record", "key", record.Key, "err", err)
 		return
 	}
--- a/internal/leader/machine_types.go
+++ b/internal/leader/machine_types.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"sort"
 
 	"drumpick/internal/ctxtime"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 )
 
@@ -78,7 +78,7 @@
 	for i := range stripped {
 		stripped[i].SpotPrice = 0
 	}
-	raw, _ := json.Marshal(stripped)
+	raw, _ := jsoncodec.Marshal(stripped)
 	return string(raw)
 }
 
--- a/internal/loadtest/deployment.go
+++ b/internal/loadtest/deployment.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -14,6 +13,7 @@
 	"drumpick/client"
 	"drumpick/internal/autoscaler"
 	"drumpick/internal/httpclient"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/localcluster"
 	"drumpick/internal/records"
 	"drumpick/internal/simulation"
@@ -228,12 +228,12 @@
 func (d *deployment) uploadJobs(jobs ...client.Job) error {
 	specs := make([]records.Job, 0, len(jobs))
 	for _, j := range jobs {
-		raw, err := json.Marshal(j)
+		raw, err := jsoncodec.Marshal(j)
 		if err != nil {
 			return err
 		}
 		var spec records.Job
-		if err := json.Unmarshal(raw, &spec); err != nil {
+		if err := jsoncodec.Unmarshal(raw, &spec); err != nil {
 			return err
 		}
 		specs = append(specs, spec)
@@ -262,7 +262,7 @@
 	}
 	var kv records.KeyValue
 	var l records.Leader
-	if json.Unmarshal(raw, &kv) != nil || json.Unmarshal(kv.Value, &l) != nil {
+	if jsoncodec.Unmarshal(raw, &kv) != nil || jsoncodec.Unmarshal(kv.Value, &l) != nil {
 		return leadership{}
 	}
 	return leadership{l.Node, kv.Revision}
--- a/internal/loadtest/hollow_workers.go
+++ b/internal/loadtest/hollow_workers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"net"
@@ -14,6 +13,7 @@
 	"drumpick/internal/config"
 	"drumpick/internal/ctxtime"
 	"drumpick/internal/httpclient"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 	"drumpick/internal/simulation"
 
@@ -310,7 +310,7 @@
 // an error of serve.
 func handleJSON[T any](c *fiber.Ctx, serve func(T) (any, error)) error {
 	var req T
-	if err := json.Unmarshal(c.Body(), &req); err != nil {
+	if err := jsoncodec.Unmarshal(c.Body(), &req); err != nil {
 		return c.Status(400).SendString(err.Error())
 	}
 	out, err := serve(req)
--- a/internal/loadtest/process.go
+++ b/internal/loadtest/process.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +16,7 @@
 	"time"
 
 	"drumpick/internal/httpclient"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/localcluster"
 
 	"github.com/gofiber/fiber/v2"
@@ -64,7 +64,7 @@
 	go func() {
 		line, err := bufio.NewReader(out).ReadBytes('\n')
 		if err == nil {
-			err = json.Unmarshal(line, &c.childAddrs)
+			err = jsoncodec.Unmarshal(line, &c.childAddrs)
 		}
 		ready <- err
 		_, _ = io.Copy(io.Discard, out)
@@ -106,7 +106,7 @@
 	if out == nil {
 		return nil
 	}
-	return json.Unmarshal(raw, out)
+	return jsoncodec.Unmarshal(raw, out)
 }
 
 // ServeChild runs a role until the process receives an interrupt or SIGTERM. It writes the addresses of its listeners
@@ -135,7 +135,7 @@
 		return err
 	}
 	addrs.ControlAddr = ln.Addr().String()
-	if err := json.NewEncoder(out).Encode(addrs); err != nil {
+	if err := jsoncodec.NewEncoder(out).Encode(addrs); err != nil {
 		return err
 	}
 	go func() { _ = app.Listener(ln) }()
--- a/internal/loadtest/result.go
+++ b/internal/loadtest/result.go
@@ -1,7 +1,6 @@
 package loadtest
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -11,6 +10,7 @@
 	"time"
 
 	"drumpick/internal/fleet"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/simulation"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -128,7 +128,7 @@
 
 // Write writes the result to a JSON file.
 func (r *Result) Write(path string) error {
-	raw, err := json.MarshalIndent(r, "", "  ")
+	raw, err := jsoncodec.MarshalIndent(r, "", "  ")
 	if err != nil {
 		return err
 	}
@@ -142,7 +142,7 @@
 		return nil, err
 	}
 	r := &Result{}
-	if err := json.Unmarshal(raw, r); err != nil {
+	if err := jsoncodec.Unmarshal(raw, r); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	if r.Size.Workers < 1 || r.MeasuredS <= 0 {
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -16,6 +15,7 @@
 
 	"drumpick/client"
 	"drumpick/internal/config"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 	"drumpick/internal/simulation"
 
@@ -101,7 +101,7 @@
 	var info Info
 	raw, err := os.ReadFile(filepath.Join(data, infoFile))
 	if err == nil {
-		err = json.Unmarshal(raw, &info)
+		err = jsoncodec.Unmarshal(raw, &info)
 	}
 	if err != nil {
 		return info, fmt.Errorf("no local cluster runs in %s (drumpickctl local up starts one): %w", data, err)
@@ -166,7 +166,7 @@
 
 // writeInfo writes the info file, which ReadInfo reads.
 func (c *Cluster) writeInfo() error {
-	raw, err := json.MarshalIndent(c.Info, "", "  ")
+	raw, err := jsoncodec.MarshalIndent(c.Info, "", "  ")
 	if err != nil {
 		return err
 	}
--- a/internal/localcluster/control.go
+++ b/internal/localcluster/control.go
@@ -1,7 +1,6 @@
 package localcluster
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -9,6 +8,7 @@
 	"time"
 
 	"drumpick/internal/httpclient"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/simulation"
 
 	"github.com/gofiber/fiber/v2"
@@ -106,10 +106,10 @@
 	}
 	if status != http.StatusOK {
 		var result controlResult
-		_ = json.Unmarshal(raw, &result)
+		_ = jsoncodec.Unmarshal(raw, &result)
 		return errors.New(result.Error)
 	}
-	return json.Unmarshal(raw, out)
+	return jsoncodec.Unmarshal(raw, out)
 }
 
 // PostCommand posts a control request to a cluster and returns the response's text, which says what was done.
--- a/internal/localcluster/services.go
+++ b/internal/localcluster/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -13,6 +12,7 @@
 
 	"drumpick/internal/config"
 	"drumpick/internal/ctxtime"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 	"drumpick/internal/simulation"
 
@@ -147,7 +147,7 @@
 func (c *Cluster) readOpenJob(id string) (records.Job, bool) {
 	var j records.Job
 	value := c.Store.Value(records.OpenKey(id))
-	return j, value != "" && json.Unmarshal([]byte(value), &j) == nil
+	return j, value != "" && jsoncodec.Unmarshal([]byte(value), &j) == nil
 }
 
 // serveWorker serves a machine's worker on a new loopback address.
@@ -170,7 +170,7 @@
 		for _, kv := range c.Store.List(records.PrefixClosed) {
 			var closed records.ClosedJob
 			isNew := kv.Revision > since
-			if isNew && json.Unmarshal(kv.Value, &closed) == nil && closed.Status == records.StatusCancelled {
+			if isNew && jsoncodec.Unmarshal(kv.Value, &closed) == nil && closed.Status == records.StatusCancelled {
 				c.Environment.RecordCancelConfirmation(strings.TrimPrefix(kv.Key, records.PrefixClosed))
 			}
 			since = max(since, kv.Revision)
--- a/internal/localcluster/store_file.go
+++ b/internal/localcluster/store_file.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
 
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 	"drumpick/internal/simulation"
 
@@ -92,7 +92,7 @@
 	}
 	return tx.Bucket(bucketEntries).ForEach(func(key, raw []byte) error {
 		var kv records.KeyValue
-		if err := json.Unmarshal(raw, &kv); err != nil {
+		if err := jsoncodec.Unmarshal(raw, &kv); err != nil {
 			return fmt.Errorf("decode record %s: %w", key, err)
 		}
 		c.entries = append(c.entries, kv)
@@ -184,7 +184,7 @@
 func writeChange(tx *bbolt.Tx, c simulation.Change) error {
 	entries, leases, meta := tx.Bucket(bucketEntries), tx.Bucket(bucketLeases), tx.Bucket(bucketMeta)
 	for _, kv := range c.Writes {
-		raw, err := json.Marshal(kv)
+		raw, err := jsoncodec.Marshal(kv)
 		if err != nil {
 			return err
 		}
--- a/internal/operator/drain_plan.go
+++ b/internal/operator/drain_plan.go
@@ -1,13 +1,13 @@
 package operator
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
 	"slices"
 
 	"drumpick/internal/drain"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/messagesize"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
@@ -22,7 +22,7 @@
 
 // planDrain returns the leader's reply to a plan request: the plan of the drain, or an error response.
 func (s *Server) planDrain(request drainRequest) peer.RelayReply {
-	raw, err := json.Marshal(request)
+	raw, err := jsoncodec.Marshal(request)
 	if err != nil {
 		return errorResponse(fiber.StatusBadRequest, err.Error())
 	}
@@ -32,7 +32,7 @@
 // planDrainAsLeader handles a plan request as the leader; body is an encoded drainRequest.
 func planDrainAsLeader(l Leader, body []byte) peer.RelayReply {
 	var request drainRequest
-	if err := json.Unmarshal(body, &request); err != nil {
+	if err := jsoncodec.Unmarshal(body, &request); err != nil {
 		return errorResponse(fiber.StatusBadRequest, err.Error())
 	}
 	for _, id := range request.Seen {
--- a/internal/operator/drain_request.go
+++ b/internal/operator/drain_request.go
@@ -1,12 +1,12 @@
 package operator
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
 
 	"drumpick/internal/drain"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 )
 
@@ -29,8 +29,8 @@
 // parseRequest decodes and checks a drainRequest and sets RequestedMS to the current time. reason says
 // what is wrong with the request, "" if it is valid.
 func (s *Server) parseRequest(body []byte) (request drainRequest, reason string) {
-	if err := json.Unmarshal(body, &request); err != nil {
-		var typeErr *json.UnmarshalTypeError
+	if err := jsoncodec.Unmarshal(body, &request); err != nil {
+		var typeErr *jsoncodec.TypeError
 		if errors.As(err, &typeErr) && typeErr.Field != "" {
 			return request, typeErr.Field + ": has the wrong type"
 		}
--- a/internal/operator/drains.go
+++ b/internal/operator/drains.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"reflect"
@@ -10,6 +9,7 @@
 
 	"drumpick/internal/ctxtime"
 	"drumpick/internal/drain"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
 	"drumpick/internal/scheduler"
@@ -150,7 +150,7 @@
 // and otherwise a 409.
 func repeatedStartResponse(spec drain.Spec, record *records.KeyValue) peer.RelayReply {
 	var stored drain.Spec
-	if err := json.Unmarshal(record.Value, &stored); err != nil {
+	if err := jsoncodec.Unmarshal(record.Value, &stored); err != nil {
 		return unreadableRecordResponse(err)
 	}
 	expected := stored
@@ -180,7 +180,7 @@
 			return noSuchDrainResponse(id)
 		}
 		var spec drain.Spec
-		if err := json.Unmarshal(record.Value, &spec); err != nil {
+		if err := jsoncodec.Unmarshal(record.Value, &spec); err != nil {
 			return unreadableRecordResponse(err)
 		}
 		if spec.Stopped {
@@ -217,7 +217,7 @@
 		if strings.TrimPrefix(record.Key, records.PrefixDrains) <= since {
 			return nil
 		}
-		if err := json.Unmarshal(record.Value, &spec); err != nil {
+		if err := jsoncodec.Unmarshal(record.Value, &spec); err != nil {
 			slog.Error("unreadable record", "key", record.Key, "err", err)
 			return nil
 		}
@@ -240,7 +240,7 @@
 	states := map[string]*drain.State{}
 	_, err := s.store.List(ctx, records.PrefixDrainState, func(record records.KeyValue) error {
 		var state drain.State
-		if json.Unmarshal(record.Value, &state) == nil {
+		if jsoncodec.Unmarshal(record.Value, &state) == nil {
 			states[strings.TrimPrefix(record.Key, records.PrefixDrainState)] = &state
 		}
 		return nil
@@ -264,12 +264,12 @@
 		return noSuchDrainResponse(id)
 	}
 	var view scheduler.DrainView
-	if err := json.Unmarshal(record.Value, &view.Spec); err != nil {
+	if err := jsoncodec.Unmarshal(record.Value, &view.Spec); err != nil {
 		return unreadableRecordResponse(err)
 	}
 	if stateRecord, err := s.store.Get(ctx, records.PrefixDrainState+id); err == nil && stateRecord != nil {
 		var state drain.State
-		if json.Unmarshal(stateRecord.Value, &state) == nil {
+		if jsoncodec.Unmarshal(stateRecord.Value, &state) == nil {
 			view.State = &state
 		}
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,13 +5,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net/url"
 	"time"
 
 	"drumpick/internal/config"
 	"drumpick/internal/drain"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/messagesize"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
@@ -168,7 +168,7 @@
 
 // encodeJSON returns a reply with v encoded as JSON, or a 503 without a body if v cannot be encoded.
 func encodeJSON(status int, v any) peer.RelayReply {
-	raw, err := json.Marshal(v)
+	raw, err := jsoncodec.Marshal(v)
 	if err != nil {
 		return peer.RelayReply{Status: fiber.StatusServiceUnavailable}
 	}
--- a/internal/records/keyvalue.go
+++ b/internal/records/keyvalue.go
@@ -1,14 +1,14 @@
 package records
 
-import "encoding/json"
+import "drumpick/internal/jsoncodec"
 
 // KeyValue is a key with its value, the revision of its last change, and the lease that it is
 // attached to (0: none).
 type KeyValue struct {
-	Key      string          `json:"k"`
-	Value    json.RawMessage `json:"value"`
-	Revision uint64          `json:"stamp"`
-	LeaseID  uint64          `json:"hold"`
+	Key      string               `json:"k"`
+	Value    jsoncodec.RawMessage `json:"value"`
+	Revision uint64               `json:"stamp"`
+	LeaseID  uint64               `json:"hold"`
 }
 
 // Compare is a condition of a commit: the last change of a key has the given revision; 0: the key
@@ -30,8 +30,8 @@
 // Event is one change that a watch reports: a write of the key Write, or a delete of the key
 // Delete; the other one is "".
 type Event struct {
-	Write    string          `json:"write"`
-	Delete   string          `json:"delete"`
-	Value    json.RawMessage `json:"value"`
-	Revision uint64          `json:"stamp"`
+	Write    string               `json:"write"`
+	Delete   string               `json:"delete"`
+	Value    jsoncodec.RawMessage `json:"value"`
+	Revision uint64               `json:"stamp"`
 }
--- a/internal/records/leader.go
+++ b/internal/records/leader.go
@@ -1,10 +1,11 @@
 package records
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
+
+	"drumpick/internal/jsoncodec"
 )
 
 // Leader is the value of the leader key.
@@ -17,12 +18,12 @@
 
 // FormatWatermark encodes a job's watermark: tasks below it may have been dispatched. The number is
 // padded to six digits, so that a watermark that rises below 1,000,000 does not outgrow its page.
-func FormatWatermark(n int) json.RawMessage { return fmt.Appendf(nil, "\"%06d\"", n) }
+func FormatWatermark(n int) jsoncodec.RawMessage { return fmt.Appendf(nil, "\"%06d\"", n) }
 
 // ParseWatermark decodes a value that FormatWatermark encoded.
-func ParseWatermark(v json.RawMessage) (int, error) {
+func ParseWatermark(v jsoncodec.RawMessage) (int, error) {
 	var text string
-	if err := json.Unmarshal(v, &text); err != nil {
+	if err := jsoncodec.Unmarshal(v, &text); err != nil {
 		return 0, err
 	}
 	n, err := strconv.Atoi(text)
--- a/internal/records/paged.go
+++ b/internal/records/paged.go
@@ -1,11 +1,12 @@
 package records
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math"
 	"strings"
+
+	"drumpick/internal/jsoncodec"
 )
 
 // PagedRecords packs many small records into a few values of the store, the pages. The store's rate
@@ -29,7 +30,7 @@
 	// compares against it.
 	Revision uint64
 
-	entries           map[string]json.RawMessage
+	entries           map[string]jsoncodec.RawMessage
 	reserved          map[string]int // bytes reserved for each record
 	reservedBytes     int            // sum of reserved
 	dirty             bool           // differs from the last write that was prepared
@@ -63,7 +64,7 @@
 
 // Put sets a record and reserves up to reserve bytes for its value, as far as its page has space.
 // It returns false and changes nothing if the record has outgrown a page that it shares with others.
-func (p *PagedRecords) Put(id string, value json.RawMessage, reserve int) bool {
+func (p *PagedRecords) Put(id string, value jsoncodec.RawMessage, reserve int) bool {
 	minBytes := len(value) + len(id) + entryOverhead
 	reserveBytes := max(reserve, len(value)) + len(id) + entryOverhead
 	page := p.writable[id]
@@ -104,7 +105,7 @@
 	if found == nil {
 		found = &Page{
 			Key:      p.prefix + p.newName(),
-			entries:  map[string]json.RawMessage{},
+			entries:  map[string]jsoncodec.RawMessage{},
 			reserved: map[string]int{},
 		}
 		p.pages = append(p.pages, found)
@@ -143,7 +144,7 @@
 // Load adds a page read from the store, of the given size in bytes. A record that is in two pages
 // stays in both because it is unknown which copy is newer. A page that is too large to be written
 // again becomes read-only, and its records have no writable page.
-func (p *PagedRecords) Load(key string, entries map[string]json.RawMessage, bytes int) *Page {
+func (p *PagedRecords) Load(key string, entries map[string]jsoncodec.RawMessage, bytes int) *Page {
 	page := &Page{
 		Key:      key,
 		entries:  maps.Clone(entries),
@@ -183,7 +184,7 @@
 }
 
 // ReadOnlyEntries returns the records of the first read-only page that still has any.
-func (p *PagedRecords) ReadOnlyEntries() map[string]json.RawMessage {
+func (p *PagedRecords) ReadOnlyEntries() map[string]jsoncodec.RawMessage {
 	for _, page := range p.pages {
 		if page.readOnly && len(page.entries) > 0 {
 			return maps.Clone(page.entries)
@@ -253,16 +254,16 @@
 
 // DecodeEntries decodes the records of a page, by id. Versions without pages stored each record
 // under its own key: prefix and id.
-func DecodeEntries(prefix string, record KeyValue) (map[string]json.RawMessage, error) {
-	var entries map[string]json.RawMessage
-	if err := json.Unmarshal(record.Value, &entries); err == nil {
+func DecodeEntries(prefix string, record KeyValue) (map[string]jsoncodec.RawMessage, error) {
+	var entries map[string]jsoncodec.RawMessage
+	if err := jsoncodec.Unmarshal(record.Value, &entries); err == nil {
 		if _, isMachine := entries[machineTypeField]; !isMachine {
 			return entries, nil
 		}
 	} else if len(record.Value) == 0 || record.Value[0] != '"' {
 		return nil, fmt.Errorf("record %s: %w", record.Key, err)
 	}
-	return map[string]json.RawMessage{strings.TrimPrefix(record.Key, prefix): record.Value}, nil
+	return map[string]jsoncodec.RawMessage{strings.TrimPrefix(record.Key, prefix): record.Value}, nil
 }
 
 // machineTypeField is the field of Machine that distinguishes the record of a single machine from a
@@ -272,7 +273,7 @@
 // EncodedSize returns the size of a value's JSON encoding in bytes; math.MaxInt if it cannot be
 // encoded.
 func EncodedSize(value any) int {
-	raw, err := json.Marshal(value)
+	raw, err := jsoncodec.Marshal(value)
 	if err != nil {
 		return math.MaxInt
 	}
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"log/slog"
@@ -11,9 +10,8 @@
 
 	"drumpick/internal/config"
 	"drumpick/internal/fleet"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
-
-	"github.com/mailru/easyjson"
 )
 
 var benchMachines = flag.Int("machines", 450, "number of machines in the benchmarks")
@@ -283,26 +281,35 @@
 	}
 }
 
-// BenchmarkWire measures the cost of decoding a heartbeat and encoding its answer.
+// BenchmarkWire measures the cost of decoding a heartbeat and encoding its answer, for the heartbeats of
+// the benchmark's fleet and for one with 400 tasks.
 func BenchmarkWire(b *testing.B) {
 	f := newBenchFleet(b, *benchMachines, false)
-	bodies := make([][]byte, len(f.heartbeats))
-	for i, h := range f.heartbeats {
-		bodies[i], _ = json.Marshal(h)
+	large := fleet.Heartbeat{Machine: "m-000001", Addr: "10.0.0.1:9000", Type: "g8", Zone: "a", Incarnation: 1, Sequence: 88, FencingToken: 5}
+	for i := range 400 {
+		large.Tasks = append(large.Tasks, fleet.TaskStatus{Task: fmt.Sprintf("j-000412/%d", i), Attempt: 5<<24 + uint64(i), Status: fleet.Running.String()})
 	}
-	answer := fleet.HeartbeatResponse{FencingToken: 5, Commands: []fleet.Command{
+	answer := &fleet.HeartbeatResponse{FencingToken: 5, Commands: []fleet.Command{
 		{Verb: fleet.VerbRun, Task: "j-000412/4", Attempt: 5<<24 + 77},
 		{Verb: fleet.VerbReap, Task: "j-000398/0", Attempt: 5 << 24},
 	}}
-	i := 0
-	for b.Loop() {
-		var heartbeat fleet.Heartbeat
-		if easyjson.Unmarshal(bodies[i%len(bodies)], &heartbeat) != nil {
-			b.Fatal("heartbeat cannot be decoded")
+	for name, heartbeats := range map[string][]*fleet.Heartbeat{"fleet": f.heartbeats, "400 tasks": {&large}} {
+		bodies := make([][]byte, len(heartbeats))
+		for i, h := range heartbeats {
+			bodies[i], _ = jsoncodec.Marshal(h)
 		}
-		if _, err := easyjson.Marshal(answer); err != nil {
-			b.Fatal(err)
-		}
-		i++
+		b.Run(name, func(b *testing.B) {
+			i := 0
+			for b.Loop() {
+				var heartbeat fleet.Heartbeat
+				if jsoncodec.Unmarshal(bodies[i%len(bodies)], &heartbeat) != nil {
+					b.Fatal("heartbeat cannot be decoded")
+				}
+				if _, err := jsoncodec.Marshal(answer); err != nil {
+					b.Fatal(err)
+				}
+				i++
+			}
+		})
 	}
 }
--- a/internal/scheduler/drain_records.go
+++ b/internal/scheduler/drain_records.go
@@ -1,18 +1,18 @@
 package scheduler
 
 import (
-	"encoding/json"
 	"log/slog"
 	"time"
 
 	"drumpick/internal/drain"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 )
 
 // ReadDrain decodes a drain from its record. It logs an unreadable record and returns false.
-func ReadDrain(key string, value json.RawMessage) (drain.Spec, bool) {
+func ReadDrain(key string, value jsoncodec.RawMessage) (drain.Spec, bool) {
 	var s drain.Spec
-	if err := json.Unmarshal(value, &s); err != nil || records.PrefixDrains+s.ID != key {
+	if err := jsoncodec.Unmarshal(value, &s); err != nil || records.PrefixDrains+s.ID != key {
 		slog.Error("unreadable record", "key", key, "err", err)
 		return s, false
 	}
--- a/internal/scheduler/persistence.go
+++ b/internal/scheduler/persistence.go
@@ -1,13 +1,13 @@
 package scheduler
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"time"
 
 	"drumpick/internal/finishedtasks"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 	"drumpick/internal/watermark"
 )
@@ -79,10 +79,10 @@
 
 // LoadDonePage loads a page of finished tasks. All open jobs must have been added before (AddJob).
 func (p *Persistence) LoadDonePage(record records.KeyValue) {
-	loadPage(records.PrefixFinishedTasks, p.finished.Pages(), record, func(id string, v json.RawMessage) error {
+	loadPage(records.PrefixFinishedTasks, p.finished.Pages(), record, func(id string, v jsoncodec.RawMessage) error {
 		job, chunk, ok := records.ParsePartID(id)
 		var ranges string
-		if !ok || json.Unmarshal(v, &ranges) != nil {
+		if !ok || jsoncodec.Unmarshal(v, &ranges) != nil {
 			return errors.New("bad id, or value is not a JSON string")
 		}
 		if j := p.scheduler.jobs[job]; j != nil {
@@ -96,9 +96,9 @@
 
 // LoadMachinePage loads a page of machines that an earlier term may have used.
 func (p *Persistence) LoadMachinePage(record records.KeyValue, now time.Time) {
-	loadPage(records.PrefixMachines, p.machines, record, func(name string, v json.RawMessage) error {
+	loadPage(records.PrefixMachines, p.machines, record, func(name string, v jsoncodec.RawMessage) error {
 		var machine records.Machine
-		err := json.Unmarshal(v, &machine)
+		err := jsoncodec.Unmarshal(v, &machine)
 		// The machine may hold tasks even if its record is unreadable.
 		p.scheduler.LoadMachine(name, machine, now)
 		return err
@@ -108,7 +108,7 @@
 // LoadWatermarkPage loads a page of watermarks. An unreadable watermark may cover any task, so the
 // loaded watermarks are then incomplete.
 func (p *Persistence) LoadWatermarkPage(record records.KeyValue) {
-	readable := loadPage(records.PrefixWatermarks, p.watermarks, record, func(id string, v json.RawMessage) error {
+	readable := loadPage(records.PrefixWatermarks, p.watermarks, record, func(id string, v jsoncodec.RawMessage) error {
 		n, err := records.ParseWatermark(v)
 		if err != nil {
 			p.watermarkUnreadable = true
@@ -143,7 +143,7 @@
 
 // loadPage adds a stored page to pages and calls loadEntry with every entry of the page. It reports
 // whether the page could be decoded; errors of loadEntry are only logged.
-func loadPage(prefix string, pages *records.PagedRecords, record records.KeyValue, loadEntry func(id string, v json.RawMessage) error) bool {
+func loadPage(prefix string, pages *records.PagedRecords, record records.KeyValue, loadEntry func(id string, v jsoncodec.RawMessage) error) bool {
 	entries, err := records.DecodeEntries(prefix, record)
 	if err != nil {
 		slog.Error("unreadable record", "key", record.Key, "err", err)
@@ -278,7 +278,7 @@
 			continue
 		}
 		m.Recording = true
-		raw, err := json.Marshal(records.Machine{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Incarnation: m.Incarnation})
+		raw, err := jsoncodec.Marshal(records.Machine{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Incarnation: m.Incarnation})
 		if err != nil {
 			slog.Error("machine record cannot be encoded", "machine", m.Name, "err", err)
 			continue
@@ -296,7 +296,7 @@
 // appendMachinePages appends the writes of changed machine pages to a batch, and reports whether all
 // fit.
 func (p *Persistence) appendMachinePages(b *writeBatch) bool {
-	return p.appendPages(p.machines, b, func(ids []string, entries map[string]json.RawMessage) pageCallbacks {
+	return p.appendPages(p.machines, b, func(ids []string, entries map[string]jsoncodec.RawMessage) pageCallbacks {
 		return pageCallbacks{
 			onStored: func(uint64) { p.machinesStored(ids) },
 			onMoved: func(ids []string) {
@@ -347,7 +347,7 @@
 // appendFinishedPages appends the writes of changed pages of finished tasks to a batch, and reports
 // whether all fit.
 func (p *Persistence) appendFinishedPages(b *writeBatch) bool {
-	return p.appendPages(p.finished.Pages(), b, func(ids []string, _ map[string]json.RawMessage) pageCallbacks {
+	return p.appendPages(p.finished.Pages(), b, func(ids []string, _ map[string]jsoncodec.RawMessage) pageCallbacks {
 		return pageCallbacks{
 			onStored: p.finished.OnStored(ids),
 			onMoved:  p.finished.Rewrite,
@@ -363,13 +363,13 @@
 
 // appendPages appends the writes of changed pages to a batch, and reports whether all fit. callbacks
 // returns the callbacks for the write of a page with the given ids and entries.
-func (p *Persistence) appendPages(pages *records.PagedRecords, b *writeBatch, callbacks func(ids []string, entries map[string]json.RawMessage) pageCallbacks) bool {
+func (p *Persistence) appendPages(pages *records.PagedRecords, b *writeBatch, callbacks func(ids []string, entries map[string]jsoncodec.RawMessage) pageCallbacks) bool {
 	for _, page := range pages.DirtyPages() {
 		if !b.tryReserve(1, p.maxValueBytes) {
 			return false
 		}
 		op, _, ids := pages.PrepareWrite(page)
-		entries, _ := op.Value.(map[string]json.RawMessage)
+		entries, _ := op.Value.(map[string]jsoncodec.RawMessage)
 		handlers := callbacks(ids, entries)
 		b.add(PendingWrite{
 			Ops:           []records.Op{op},
@@ -399,7 +399,7 @@
 			p.watermarks.Put(j.ID, v, len(v))
 		}
 	}
-	return p.appendPages(p.watermarks, b, func(ids []string, entries map[string]json.RawMessage) pageCallbacks {
+	return p.appendPages(p.watermarks, b, func(ids []string, entries map[string]jsoncodec.RawMessage) pageCallbacks {
 		return pageCallbacks{
 			onStored: func(uint64) { p.watermarksStored(ids, entries) },
 			onMoved:  p.requestWatermarksAgain,
@@ -407,7 +407,7 @@
 	})
 }
 
-func (p *Persistence) watermarksStored(ids []string, entries map[string]json.RawMessage) {
+func (p *Persistence) watermarksStored(ids []string, entries map[string]jsoncodec.RawMessage) {
 	for _, id := range ids {
 		p.watermarks.RemoveReadOnlyCopies(id)
 		j := p.scheduler.jobs[id]
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -1,12 +1,12 @@
 package simulation
 
 import (
-	"encoding/json"
 	"time"
 
 	"drumpick/internal/autoscaler"
 	"drumpick/internal/ctxtime"
 	"drumpick/internal/fleet"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 	"drumpick/internal/workers"
 )
@@ -208,9 +208,9 @@
 		})
 	}
 	// Return a deep copy, as if the heartbeat had been sent over the wire.
-	raw, _ := json.Marshal(r)
+	raw, _ := jsoncodec.Marshal(r)
 	var sent fleet.Heartbeat
-	_ = json.Unmarshal(raw, &sent)
+	_ = jsoncodec.Unmarshal(raw, &sent)
 	return &sent
 }
 
--- a/internal/simulation/serve_cloud.go
+++ b/internal/simulation/serve_cloud.go
@@ -1,10 +1,10 @@
 package simulation
 
 import (
-	"encoding/json"
 	"net/http"
 
 	"drumpick/internal/autoscaler"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 
 	"github.com/gofiber/fiber/v2"
@@ -35,7 +35,7 @@
 
 func serveRent(c *fiber.Ctx, env *Environment) error {
 	var r autoscaler.RentalRequest
-	err := json.Unmarshal(c.Body(), &r)
+	err := jsoncodec.Unmarshal(c.Body(), &r)
 	if err != nil || r.Name == "" || r.Count < 1 || r.Count > autoscaler.MaxRentCount {
 		return c.Status(http.StatusBadRequest).JSON(errorBody{"booking is missing, or count is not within 1 to 50"})
 	}
@@ -51,7 +51,7 @@
 	var in struct {
 		Machines []string `json:"hosts"`
 	}
-	if err := json.Unmarshal(c.Body(), &in); err != nil || len(in.Machines) > autoscaler.MaxReturnNames {
+	if err := jsoncodec.Unmarshal(c.Body(), &in); err != nil || len(in.Machines) > autoscaler.MaxReturnNames {
 		return c.Status(http.StatusBadRequest).JSON(errorBody{"hosts is no list of at most 100 names"})
 	}
 	env.returnMachines(in.Machines)
--- a/internal/simulation/serve_store.go
+++ b/internal/simulation/serve_store.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 
 	"github.com/gofiber/fiber/v2"
@@ -21,10 +21,10 @@
 
 // watchEvent is a change in the response to a watch.
 type watchEvent struct {
-	Write    string          `json:"write,omitempty"`
-	Delete   string          `json:"delete,omitempty"`
-	Value    json.RawMessage `json:"value,omitempty"`
-	Revision uint64          `json:"stamp"`
+	Write    string               `json:"write,omitempty"`
+	Delete   string               `json:"delete,omitempty"`
+	Value    jsoncodec.RawMessage `json:"value,omitempty"`
+	Revision uint64               `json:"stamp"`
 }
 
 // Response bodies of the store.
@@ -115,10 +115,10 @@
 type commitRequest struct {
 	Compares []records.Compare `json:"when"`
 	Ops      []struct {
-		Write   string          `json:"write"`
-		Value   json.RawMessage `json:"value"`
-		LeaseID uint64          `json:"hold"`
-		Delete  string          `json:"delete"`
+		Write   string               `json:"write"`
+		Value   jsoncodec.RawMessage `json:"value"`
+		LeaseID uint64               `json:"hold"`
+		Delete  string               `json:"delete"`
 	} `json:"writes"`
 }
 
@@ -131,7 +131,7 @@
 		if (op.Write == "") == (op.Delete == "") || op.Write != "" && len(op.Value) == 0 {
 			return nil, errMalformedOp
 		}
-		value := json.RawMessage(utils.CopyBytes(op.Value))
+		value := jsoncodec.RawMessage(utils.CopyBytes(op.Value))
 		ops = append(ops, records.Op{Write: op.Write, Value: value, LeaseID: op.LeaseID, Delete: op.Delete})
 	}
 	return ops, nil
@@ -139,7 +139,7 @@
 
 func (s *storeServer) commit(c *fiber.Ctx) error {
 	var in commitRequest
-	if err := json.Unmarshal(c.Body(), &in); err != nil {
+	if err := jsoncodec.Unmarshal(c.Body(), &in); err != nil {
 		return c.Status(http.StatusBadRequest).JSON(errorBody{err.Error()})
 	}
 	ops, err := in.operations()
@@ -165,7 +165,7 @@
 	var in struct {
 		TTL int64 `json:"life_ms"`
 	}
-	if json.Unmarshal(c.Body(), &in) != nil || in.TTL < minLeaseMS || in.TTL > maxLeaseMS {
+	if jsoncodec.Unmarshal(c.Body(), &in) != nil || in.TTL < minLeaseMS || in.TTL > maxLeaseMS {
 		return c.Status(http.StatusBadRequest).JSON(errorBody{"life_ms is not within 100 to 600000"})
 	}
 	id := s.store.grantLease(time.Duration(in.TTL) * time.Millisecond)
--- a/internal/simulation/serve_worker.go
+++ b/internal/simulation/serve_worker.go
@@ -1,11 +1,11 @@
 package simulation
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 
 	"drumpick/internal/fleet"
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/workers"
 
 	"github.com/gofiber/fiber/v2"
@@ -22,7 +22,7 @@
 func ServeWorkers(app *fiber.App, machineOf func(c *fiber.Ctx) *Machine) {
 	app.Post("/orders", func(c *fiber.Ctx) error {
 		var r fleet.CommandRequest
-		if json.Unmarshal(c.Body(), &r) != nil || r.Incarnation == 0 {
+		if jsoncodec.Unmarshal(c.Body(), &r) != nil || r.Incarnation == 0 {
 			return c.Status(http.StatusBadRequest).JSON(errorBody{"baton or stint is missing"})
 		}
 		m := machineOf(c)
@@ -63,7 +63,7 @@
 	send func(machine string, controller int, body []byte) (status int, response []byte, err error),
 ) HeartbeatFunc {
 	return func(controller int, r *fleet.Heartbeat) (int, fleet.HeartbeatResponse, string) {
-		raw, err := json.Marshal(r)
+		raw, err := jsoncodec.Marshal(r)
 		if err != nil {
 			panic(fmt.Sprintf("encode heartbeat: %v", err))
 		}
@@ -71,13 +71,14 @@
 		if err != nil {
 			return 0, fleet.HeartbeatResponse{}, ""
 		}
-		var out struct {
-			fleet.HeartbeatResponse
-			Leader string `json:"conductor"`
-		}
-		if json.Unmarshal(response, &out) != nil && status == http.StatusOK {
+		var out fleet.HeartbeatResponse
+		if jsoncodec.Unmarshal(response, &out) != nil && status == http.StatusOK {
 			return 0, fleet.HeartbeatResponse{}, ""
 		}
-		return status, out.HeartbeatResponse, out.Leader
+		var redirect struct {
+			Leader string `json:"conductor"`
+		}
+		_ = jsoncodec.Unmarshal(response, &redirect) // a response that is no object names no leader
+		return status, out, redirect.Leader
 	}
 }
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -1,7 +1,6 @@
 package simulation
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -10,6 +9,7 @@
 	"sync"
 	"time"
 
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 
 	"golang.org/x/time/rate"
@@ -289,7 +289,7 @@
 			change.Deletes = append(change.Deletes, op.Delete)
 			continue
 		}
-		raw, err := json.Marshal(op.Value)
+		raw, err := jsoncodec.Marshal(op.Value)
 		if err != nil {
 			return Change{}, err
 		}
--- a/internal/store/requests.go
+++ b/internal/store/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -10,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"drumpick/internal/jsoncodec"
 	"drumpick/internal/records"
 )
 
@@ -61,13 +61,13 @@
 		var response struct {
 			Revision *uint64 `json:"epoch"`
 		}
-		if json.Unmarshal(body, &response) != nil || response.Revision == nil {
+		if jsoncodec.Unmarshal(body, &response) != nil || response.Revision == nil {
 			return nil, fmt.Errorf("%w: 404 response without epoch", records.ErrUnexpected)
 		}
 		return nil, nil
 	case http.StatusOK:
 		var record records.KeyValue
-		if err := json.Unmarshal(body, &record); err != nil || record.Key != key || record.Revision == 0 {
+		if err := jsoncodec.Unmarshal(body, &record); err != nil || record.Key != key || record.Revision == 0 {
 			return nil, fmt.Errorf("%w: invalid record for key %s", records.ErrUnexpected, key)
 		}
 		return &record, nil
@@ -93,7 +93,7 @@
 			return 0, fmt.Errorf("%w: status %d for list of %s", records.ErrUnexpected, status, prefix)
 		}
 		var page pageResponse
-		if err := json.Unmarshal(body, &page); err != nil {
+		if err := jsoncodec.Unmarshal(body, &page); err != nil {
 			return 0, fmt.Errorf("%w: %v", records.ErrUnexpected, err)
 		}
 		if revision == 0 {
@@ -132,20 +132,20 @@
 	switch status {
 	case http.StatusOK:
 		var response revisionResponse
-		if err := json.Unmarshal(body, &response); err != nil || response.Revision == 0 {
+		if err := jsoncodec.Unmarshal(body, &response); err != nil || response.Revision == 0 {
 			// The store has applied the operations, but the revision is unknown.
 			return 0, fmt.Errorf("%w: malformed commit response", records.ErrUnknownOutcome)
 		}
 		return response.Revision, nil
 	case http.StatusConflict:
 		var conflict records.ConflictError
-		if err := json.Unmarshal(body, &conflict); err != nil {
+		if err := jsoncodec.Unmarshal(body, &conflict); err != nil {
 			return 0, fmt.Errorf("%w: %v", records.ErrUnexpected, err)
 		}
 		return 0, &conflict
 	case http.StatusBadRequest:
 		var response errorResponse
-		_ = json.Unmarshal(body, &response) // a 400 without an error text means ErrInvalid, too
+		_ = jsoncodec.Unmarshal(body, &response) // a 400 without an error text means ErrInvalid, too
 		if response.Error == noSuchLease {
 			return 0, records.ErrLeaseExpired
 		}
@@ -165,7 +165,7 @@
 		return 0, err
 	}
 	var response leaseResponse
-	if status != http.StatusOK || json.Unmarshal(body, &response) != nil || response.LeaseID == 0 {
+	if status != http.StatusOK || jsoncodec.Unmarshal(body, &response) != nil || response.LeaseID == 0 {
 		return 0, fmt.Errorf("%w: status %d for lease grant", records.ErrUnexpected, status)
 	}
 	return response.LeaseID, nil
@@ -213,7 +213,7 @@
 	switch status {
 	case http.StatusOK:
 		var response watchResponse
-		if err := json.Unmarshal(body, &response); err != nil || response.Revision < since {
+		if err := jsoncodec.Unmarshal(body, &response); err != nil || response.Revision < since {
 			return nil, since, fmt.Errorf("%w: malformed watch response", records.ErrUnexpected)
 		}
 		return response.Events, response.Revision, nil
--- a/internal/workers/caller.go
+++ b/internal/workers/caller.go
@@ -10,8 +10,7 @@
 
 	"drumpick/internal/fleet"
 	"drumpick/internal/httpclient"
-
-	"github.com/mailru/easyjson"
+	"drumpick/internal/jsoncodec"
 )
 
 const (
@@ -105,7 +104,7 @@
 		return OutcomeUnknown, nil, fmt.Errorf("worker %s: status %d", addr, status)
 	}
 	var heartbeat fleet.Heartbeat
-	if err := easyjson.Unmarshal(body, &heartbeat); err != nil {
+	if err := jsoncodec.Unmarshal(body, &heartbeat); err != nil {
 		return OutcomeUnknown, nil, fmt.Errorf("worker %s: %w", addr, err)
 	}
 	if err := heartbeat.Validate(); err != nil {
