Keep no state for each waiting task of a job

Cause: after a failover, tasks that may have run were queued again one by one, eight bytes each; every job had three bit sets of all its tasks, and a fourth until the reconciliation; storing a part of the finished tasks copied the set of the whole job.

Change: the queue of retries keeps ranges of tasks. Uncertain tasks are those below a number but for the ones known to be certain. The sets grow up to the highest task in them. A part that is being stored copies its own tasks. The loops over all tasks of a job in loading a term are gone, but for jobs with retries.

--- a/internal/finishedtasks/tracker.go
+++ b/internal/finishedtasks/tracker.go
@@ -4,6 +4,7 @@
 
 import (
 	"iter"
+	"math/bits"
 	"slices"
 
 	"drumpick/internal/jsoncodec"
@@ -18,10 +19,10 @@
 type Job interface {
 	JobID() string
 	TaskCount() int
-	// DoneTasks is the bit set of finished tasks.
-	DoneTasks() []uint64
-	// StoredTasks is the bit set of finished tasks that are stored; the tracker adds to it.
-	StoredTasks() []uint64
+	// IsDone reports whether a task is finished.
+	IsDone(task int) bool
+	// MarkStored records that the result of a finished task is stored.
+	MarkStored(task int)
 	// DirtyParts is the set of parts whose records must be written; the tracker updates it.
 	DirtyParts() map[int]bool
 }
@@ -142,9 +143,8 @@
 
 func (t *Tracker) writePart(job Job, part int) {
 	chunk, from, to := t.layout.span(part, job.TaskCount())
-	done := job.DoneTasks()
 	raw, err := jsoncodec.Marshal(records.FormatRanges(func(i int) bool {
-		return i >= from && isSet(done, chunk*t.layout.ChunkTasks+i)
+		return i >= from && job.IsDone(chunk*t.layout.ChunkTasks+i)
 	}, to))
 	if err == nil {
 		t.putRecord(job.JobID(), part, raw, min(records.ChunkBytes(to-from, t.layout.ChunkTasks), 2*len(raw)+growthBytes))
@@ -194,7 +194,7 @@
 type pendingPart struct {
 	job  Job
 	part int
-	done []uint64
+	done []uint64 // bit set, counted from the first task of the part
 }
 
 // OnStored returns a callback that marks the tasks of the given records as stored that are finished
@@ -206,7 +206,7 @@
 		p, known := t.parts[id]
 		job, open := t.openJobs.OpenJob(p.job)
 		if known && open && !job.DirtyParts()[p.part] && t.recordsOf(p.job).ids[p.part] == id {
-			parts = append(parts, pendingPart{job, p.part, slices.Clone(job.DoneTasks())})
+			parts = append(parts, pendingPart{job, p.part, t.doneTasks(job, p.part)})
 		}
 	}
 	return func(uint64) {
@@ -216,15 +216,33 @@
 	}
 }
 
+// taskSpan returns the half-open range [first, end) of the tasks of a part of a job.
+func (t *Tracker) taskSpan(job Job, part int) (first, end int) {
+	chunk, from, to := t.layout.span(part, job.TaskCount())
+	base := chunk * t.layout.ChunkTasks
+	return base + from, base + to
+}
+
+// doneTasks returns the finished tasks of a part of a job as a bit set, counted from the part's first task.
+func (t *Tracker) doneTasks(job Job, part int) []uint64 {
+	first, end := t.taskSpan(job, part)
+	done := make([]uint64, (max(end-first, 0)+63)/64)
+	for task := first; task < end; task++ {
+		if job.IsDone(task) {
+			i := task - first
+			done[i/64] |= 1 << (i % 64)
+		}
+	}
+	return done
+}
+
 // markStored adds the finished tasks of a part to the stored tasks of its job, and removes records
 // that are superseded by then.
 func (t *Tracker) markStored(p pendingPart) {
-	chunk, from, to := t.layout.span(p.part, p.job.TaskCount())
-	stored := p.job.StoredTasks()
-	base := chunk * t.layout.ChunkTasks
-	for task := base + from; task < base+to; task++ {
-		if isSet(p.done, task) {
-			stored[task/64] |= 1 << (task % 64)
+	first, _ := t.taskSpan(p.job, p.part)
+	for word, set := range p.done {
+		for ; set != 0; set &= set - 1 {
+			p.job.MarkStored(first + 64*word + bits.TrailingZeros64(set))
 		}
 	}
 	// A loaded record that is stored only because another record of its page changed does not count:
@@ -275,6 +293,3 @@
 		delete(t.jobs, job)
 	}
 }
-
-// isSet reports whether a bit set contains i.
-func isSet(set []uint64, i int) bool { return set[i/64]>>(i%64)&1 == 1 }
--- a/internal/scheduler/arbitrary_heartbeats_test.go
+++ b/internal/scheduler/arbitrary_heartbeats_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -71,7 +72,7 @@
 	s.DescribeMachine(machine.Name, now)
 	for _, j := range s.jobs {
 		s.Progress(j.ID)
-		copy(j.stored, j.done)
+		j.stored = slices.Clone(j.done)
 	}
 }
 
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -169,7 +169,7 @@
 func (s *Scheduler) releaseCurrent(job *Job, attempt *fleet.Attempt) {
 	task := attempt.Task.N
 	delete(job.attempts, task)
-	if task < job.nextUntried && !hasBit(job.done, task) {
+	if task < job.nextUntried && !job.done.has(task) {
 		s.retryTask(job, task)
 	}
 	if job.Shape != records.ShapeGang {
@@ -191,7 +191,7 @@
 		return
 	}
 	delete(job.duplicates, task)
-	if task < job.nextUntried && job.attempts[task] == nil && !hasBit(job.done, task) {
+	if task < job.nextUntried && job.attempts[task] == nil && !job.done.has(task) {
 		s.retryTask(job, task)
 	}
 }
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -84,7 +84,7 @@
 		if attempt.State() == fleet.Ended && attempt.Cause == fleet.CauseDone && !attempt.MayReap {
 			job := s.jobOf(attempt)
 			// The worker may reap a completed attempt only when its result is stored.
-			attempt.MayReap = job == nil || hasBit(job.stored, attempt.Task.N)
+			attempt.MayReap = job == nil || job.stored.has(attempt.Task.N)
 		}
 	}
 	batch := s.nextBatch(machine)
@@ -194,7 +194,7 @@
 		return false
 	case !s.acceptsTasks(machine, now), !machine.Recorded:
 		return false
-	case task >= job.Tasks, hasBit(job.done, task), job.attempts[task] != attempt, job.duplicates[task] > 0:
+	case task >= job.Tasks, job.done.has(task), job.attempts[task] != attempt, job.duplicates[task] > 0:
 		return false
 	case job.isUncertain(task), !s.belowWatermark(attempt):
 		return false
--- a/internal/scheduler/eligibility.go
+++ b/internal/scheduler/eligibility.go
@@ -22,7 +22,7 @@
 	if s.reconciled {
 		return true
 	}
-	return (j.uncertain == nil || j.Shape != records.ShapeGang) && !j.teamLimited && !j.OneZone && !j.SpreadZones
+	return (j.uncertain.empty() || j.Shape != records.ShapeGang) && !j.teamLimited && !j.OneZone && !j.SpreadZones
 }
 
 // silentIntervals is after how many heartbeat intervals without a status a machine is silent.
--- a/internal/scheduler/fake_fleet_test.go
+++ b/internal/scheduler/fake_fleet_test.go
@@ -128,7 +128,7 @@
 	f.scheduler.RecordAnswer(reported, "", f.now)
 	f.applyCommands(machine, response.Commands)
 	for _, j := range f.scheduler.jobs {
-		copy(j.stored, j.done)
+		j.stored = slices.Clone(j.done)
 		if j.doneCount == j.Tasks {
 			f.scheduler.ApplyClosedRecord(j.ID, records.ClosedJob{Status: records.StatusDone}, 99)
 		}
--- a/internal/scheduler/finished_tasks.go
+++ b/internal/scheduler/finished_tasks.go
@@ -43,11 +43,11 @@
 // TaskCount returns the number of tasks of the job.
 func (o openJob) TaskCount() int { return o.job.Tasks }
 
-// DoneTasks returns the bit set of the job's finished tasks.
-func (o openJob) DoneTasks() []uint64 { return o.job.done }
+// IsDone reports whether a task is finished.
+func (o openJob) IsDone(task int) bool { return o.job.done.has(task) }
 
-// StoredTasks returns the bit set of the job's finished tasks whose result is stored.
-func (o openJob) StoredTasks() []uint64 { return o.job.stored }
+// MarkStored records that the result of a finished task is stored.
+func (o openJob) MarkStored(task int) { o.job.stored.add(task) }
 
 // DirtyParts returns the set of the job's parts, by index, whose records have to be written.
 func (o openJob) DirtyParts() map[int]bool { return o.job.dirtyParts }
--- a/internal/scheduler/finished_tasks_test.go
+++ b/internal/scheduler/finished_tasks_test.go
@@ -216,8 +216,8 @@
 				}
 				for _, j := range scheduler.jobs {
 					for i := range j.Tasks {
-						if hasBit(j.done, i) != hasBit(j.stored, i) {
-							t.Fatalf("seed %d: task %d of %s: done %v, stored %v", seed, i, j.ID, hasBit(j.done, i), hasBit(j.stored, i))
+						if j.done.has(i) != j.stored.has(i) {
+							t.Fatalf("seed %d: task %d of %s: done %v, stored %v", seed, i, j.ID, j.done.has(i), j.stored.has(i))
 						}
 					}
 				}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -30,7 +30,7 @@
 	precedence            dependency.Precedence
 
 	// Progress.
-	done, stored []uint64 // bit sets of finished tasks, and of those that are stored
+	done, stored taskSet // finished tasks, and those whose result is stored
 	doneCount    int
 	dirtyParts   map[int]bool // parts of the finished tasks whose records have to be written
 	closed       bool         // no longer open
@@ -42,7 +42,7 @@
 	attempts   map[int]*fleet.Attempt // current attempt by task
 	duplicates map[int]int            // number of duplicates by task
 	watermark  watermark.Mark         // tasks below it may have been sent
-	uncertain  []uint64               // bit set of tasks that may be on unreconciled machines; nil: none
+	uncertain  uncertainTasks
 
 	// Failures.
 	errorMachines map[string]bool // machines on which its tasks failed
@@ -95,6 +95,3 @@
 	}
 	return job
 }
-
-// hasBit reports whether a bit set contains i.
-func hasBit(set []uint64, i int) bool { return set[i/64]>>(i%64)&1 == 1 }
--- a/internal/scheduler/message_size_test.go
+++ b/internal/scheduler/message_size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -135,7 +136,7 @@
 		return
 	}
 	for _, j := range w.scheduler.jobs {
-		copy(j.stored, j.done)
+		j.stored = slices.Clone(j.done)
 		if j.doneCount == j.Tasks {
 			w.scheduler.ApplyClosedRecord(j.ID, records.ClosedJob{Status: records.StatusDone}, 99)
 		}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -165,7 +165,7 @@
 	}
 	// An unverified machine that reports tasks was returned and the heartbeat is a late copy, or its
 	// record is missing. Its tasks use room and are stopped.
-	becomesCurrent := !machine.Unverified && job.attempts[task] == nil && !hasBit(job.done, task) &&
+	becomesCurrent := !machine.Unverified && job.attempts[task] == nil && !job.done.has(task) &&
 		(job.Shape != records.ShapeGang || job.gangAttempt == 0 || job.gangAttempt == attempt.Number)
 	if becomesCurrent && !s.startedThisTerm(attempt) {
 		attempt.Duplicate = false
--- a/internal/scheduler/scenario_events_test.go
+++ b/internal/scheduler/scenario_events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -38,7 +39,7 @@
 	},
 	"stored": func(_ *replay, s *Scheduler, in eventInput) []string {
 		job := s.jobs[in.words[0]]
-		copy(job.stored, job.done)
+		job.stored = slices.Clone(job.done)
 		return nil
 	},
 	"in-flight": func(r *replay, s *Scheduler, in eventInput) []string {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -110,14 +110,10 @@
 	if job := s.jobs[record.ID]; job != nil {
 		return job
 	}
-	words := (record.Tasks + 63) / 64
 	job := &Job{
 		Job: record, Revision: revision,
 		request:         fleet.Request(&record, s.term<<attemptSequenceBits|maxAttemptSequence),
 		imageReadyLabel: fleet.ImageReadyLabel(record.Image),
-		done:            make([]uint64, words),
-		stored:          make([]uint64, words),
-		waitingTasks:    waitingTasks{inRetries: make([]uint64, words)},
 		dirtyParts:      map[int]bool{},
 		attempts:        map[int]*fleet.Attempt{},
 		duplicates:      map[int]int{},
@@ -155,10 +151,10 @@
 	base := chunk * s.settings.ChunkTasks
 	return records.ParseRanges(ranges, func(i int) {
 		if task := base + i; task < job.Tasks {
-			job.stored[task/64] |= 1 << (task % 64)
+			job.stored.add(task)
 			if job.Shape == records.ShapeGang {
 				s.recordResult(job, task) // completes the whole gang; some of its results may not be stored
-			} else if !hasBit(job.done, task) {
+			} else if !job.done.has(task) {
 				s.setDone(job, task)
 			}
 		}
@@ -167,7 +163,7 @@
 
 // setDone marks task n of a job as done. The task must not be done yet.
 func (s *Scheduler) setDone(j *Job, n int) {
-	j.done[n/64] |= 1 << (n % 64)
+	j.done.add(n)
 	if j.doneCount++; j.doneCount == j.Tasks {
 		s.completeJobs[j] = struct{}{}
 	}
@@ -178,7 +174,7 @@
 // stored only some members' results, or the machines of the others are gone, the others would
 // restart and wait for their peers, and the job would never complete.
 func (s *Scheduler) recordResult(job *Job, task int) {
-	if task >= job.Tasks || hasBit(job.done, task) || job.Shape == records.ShapeService {
+	if task >= job.Tasks || job.done.has(task) || job.Shape == records.ShapeService {
 		return
 	}
 	first, last := task, task
@@ -186,7 +182,7 @@
 		first, last = 0, job.Tasks-1
 	}
 	for n := first; n <= last; n++ {
-		if !hasBit(job.done, n) {
+		if !job.done.has(n) {
 			s.setDone(job, n)
 			job.dirtyParts[s.partOf(n)] = true
 		}
--- a/internal/scheduler/watermarks.go
+++ b/internal/scheduler/watermarks.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math/bits"
 	"time"
 
 	"drumpick/internal/fleet"
@@ -22,17 +21,24 @@
 
 func newWatermarkState() watermarkState { return watermarkState{raised: map[*Job]struct{}{}} }
 
+// uncertainTasks is the tasks of a job that may be on machines that have not reported since the failover:
+// the tasks below a number, except those that are known to be certain.
+type uncertainTasks struct {
+	below   int
+	certain taskSet
+}
+
+func (u *uncertainTasks) empty() bool { return u.below == 0 }
+
 // isUncertain reports whether a task of the job may be on a machine that has not reported since the
 // failover.
-func (j *Job) isUncertain(task int) bool { return j.uncertain != nil && hasBit(j.uncertain, task) }
+func (j *Job) isUncertain(task int) bool {
+	return task < j.uncertain.below && !j.uncertain.certain.has(task)
+}
 
 // countUncertain returns the number of uncertain tasks that are not done.
 func (j *Job) countUncertain() int {
-	n := 0
-	for i, word := range j.uncertain {
-		n += bits.OnesCount64(word &^ j.done[i])
-	}
-	return n
+	return j.uncertain.below - countUnion(j.done, j.uncertain.certain, 0, j.uncertain.below)
 }
 
 // markUncertain marks all tasks of a job as uncertain, and takes them from the queue, if an earlier
@@ -41,10 +47,7 @@
 	if s.reconciled || j.earliestStartRevision > s.term {
 		return
 	}
-	j.uncertain = make([]uint64, len(j.done))
-	for t := range j.Tasks {
-		j.uncertain[t/64] |= 1 << (t % 64)
-	}
+	j.uncertain = uncertainTasks{below: j.Tasks}
 	j.nextUntried = j.Tasks
 }
 
@@ -52,18 +55,18 @@
 // done or have an attempt. The caller must know that no unreconciled machine can hold any of the
 // tasks.
 func (s *Scheduler) clearUncertain(j *Job) {
-	if j.uncertain == nil {
+	if j.uncertain.empty() {
 		return
 	}
 	before := j.uncertain
-	j.uncertain, j.untriedHaveAttempts, s.placementStale = nil, true, true
+	j.uncertain, j.untriedHaveAttempts, s.placementStale = uncertainTasks{}, true, true
 	s.order.activate(j)
-	if len(j.retries) == 0 {
+	if j.retries.count == 0 {
 		j.nextUntried = 0 // nextTask skips tasks that are done or have an attempt
 		return
 	}
-	for t := range j.Tasks {
-		if hasBit(before, t) && !hasBit(j.done, t) && j.attempts[t] == nil && j.duplicates[t] == 0 {
+	for t := range before.below {
+		if !before.certain.has(t) && !j.done.has(t) && j.attempts[t] == nil && j.duplicates[t] == 0 {
 			j.queueRetry(t)
 		}
 	}
@@ -75,18 +78,12 @@
 	for id, j := range s.jobs {
 		n := min(stored[id], j.Tasks)
 		j.watermark.RecordStored(n)
-		if !complete || j.uncertain == nil {
+		if !complete || j.uncertain.empty() {
 			continue
 		}
 		j.nextUntried = n
+		j.uncertain.below = n
 		s.order.activate(j)
-		if n == 0 {
-			j.uncertain = nil
-			continue
-		}
-		for t := n; t < j.Tasks; t++ {
-			j.uncertain[t/64] &^= 1 << (t % 64)
-		}
 	}
 	s.watermarks.complete = complete
 	s.placementStale = true
@@ -100,7 +97,7 @@
 	for _, a := range m.Attempts() {
 		j := s.jobOf(a)
 		if j != nil && j.isUncertain(a.Task.N) && a.MayBePresent() && m.InLastStatus(a) && j.attempts[a.Task.N] == a {
-			j.uncertain[a.Task.N/64] &^= 1 << (a.Task.N % 64)
+			j.uncertain.certain.add(a.Task.N)
 		}
 	}
 }
