Test that late copies of commands start nothing

On a service like this one, a late copy of a start command that had been executed and answered reached its machine again after a controller or machine was back within a second; a task ran twice, and a cancelled one ran again. PROTOCOL lets a worker execute a copy of /orders as long as token and session match, and start a reaped attempt once more.

It cannot happen here: a run is sent only in the answer to a heartbeat, which a worker never executes late; direct commands are kills, reaps and empty probes, and name attempts by number.

--- a/internal/simulation/environment.go
+++ b/internal/simulation/environment.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"drumpick/internal/config"
+	"drumpick/internal/fleet"
 	"drumpick/internal/records"
 )
 
@@ -63,7 +64,9 @@
 	partitioned      map[string]bool // zones that are unreachable
 	commandsBlocked  map[string]bool // zones whose machines get no direct commands
 	pickCommandDelay func() (command, response time.Duration)
-	pickBootTime     func() time.Duration // overrides BootTime if not nil
+	// pickCommandCopies returns the delays of the copies of a direct command request; nil: there are none.
+	pickCommandCopies func(r fleet.CommandRequest) []time.Duration
+	pickBootTime      func() time.Duration // overrides BootTime if not nil
 
 	// What users requested and which responses they got, by job ID. The rules use these times and states.
 	acceptedAt      map[string]time.Time // when a response first reported the job as known
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -41,6 +41,31 @@
 	env.mu.Unlock()
 }
 
+// SetCommandCopies sets the function that returns after which delays copies of a direct command request arrive at the
+// machine again, counted from its execution; nil: no copies arrive. A copy also reaches a worker that has restarted.
+func (env *Environment) SetCommandCopies(pick func(r fleet.CommandRequest) []time.Duration) {
+	env.mu.Lock()
+	env.pickCommandCopies = pick
+	env.mu.Unlock()
+}
+
+// deliverCopies delivers the copies of a direct command request that the machine has executed and answered.
+func (env *Environment) deliverCopies(m *Machine, r fleet.CommandRequest) {
+	env.mu.Lock()
+	pick := env.pickCommandCopies
+	env.mu.Unlock()
+	if pick == nil {
+		return
+	}
+	for _, delay := range pick(r) {
+		go func() {
+			if ctxtime.Sleep(env.ctx, delay) == nil {
+				_, _, _ = m.ExecuteCommands(r) // nobody waits for the answer to a copy
+			}
+		}()
+	}
+}
+
 // Go runs f in a new goroutine. Go and SendCommands implement the interface through which controllers access workers.
 func (env *Environment) Go(f func()) { go f() }
 
@@ -59,6 +84,7 @@
 	if m == nil || blocked {
 		return workers.OutcomeUnknown, nil, errNoResponse
 	}
+	defer env.deliverCopies(m, r)
 	if delay == nil {
 		return m.ExecuteCommands(r)
 	}
