Forget started attempts while all machines are full

Callers would see: a leader whose machines stay full of short tasks gains memory with every start, until the platform ends it.

Cause: plannedAttempts was cleared of sent and cancelled attempts only by reassignPlanned, which returns early for a machine without room. Between full machines the list kept every attempt that had ever started.

Change: each tick clears the list. Besides, the end of a task of an array looks up the one attempt that it may supersede, in place of a loop over all running tasks of the job.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -88,6 +88,22 @@
 	}
 }
 
+// discardSuperseded discards the current attempts that a completed attempt supersedes: one of the same task
+// and, for a gang, those with another attempt number.
+func (s *Scheduler) discardSuperseded(job *Job, completed *fleet.Attempt) {
+	if job.Shape != records.ShapeGang {
+		if other := job.attempts[completed.Task.N]; other != nil && other != completed {
+			s.discardAttempt(other)
+		}
+		return
+	}
+	for _, other := range job.attempts {
+		if other != completed && (other.Task == completed.Task || other.Number != completed.Number) {
+			s.discardAttempt(other)
+		}
+	}
+}
+
 // handleCompletedTask records the result of an attempt that ended successfully and discards the
 // current attempts that it supersedes. It clears the failures of job and machine and the job's
 // backoff, and marks the other machines on which the job failed as faulty.
@@ -97,11 +113,7 @@
 	clear(machine.FailedTasksByJob)
 	machine.HasCompletedTask = true
 	s.recordResult(job, attempt.Task.N)
-	for _, other := range job.attempts {
-		if other != attempt && (other.Task == attempt.Task || job.Shape == records.ShapeGang && other.Number != attempt.Number) {
-			s.discardAttempt(other) // superseded by the completed attempt
-		}
-	}
+	s.discardSuperseded(job, attempt)
 	for name := range job.errorMachines {
 		// The job can succeed, so its earlier errors are the machines' fault.
 		if failed := s.fleet.Machines[name]; failed != nil && failed != machine {
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -31,8 +31,8 @@
 	}
 	remaining := s.plannedAttempts[:0]
 	for _, attempt := range s.plannedAttempts {
-		if attempt.State() != fleet.Planned || attempt.Item == nil {
-			continue // sent or cancelled
+		if !isUnsentPlan(attempt) {
+			continue
 		}
 		job := s.jobOf(attempt)
 		if job == nil || !s.mayReassign(machine, job, attempt, now) {
@@ -48,6 +48,17 @@
 	s.plannedAttempts = remaining
 }
 
+// forgetSentPlans removes the attempts from the list of planned ones that have been sent or cancelled. While
+// machines are full, reassignPlanned does not, and the list would keep every attempt that starts.
+func (s *Scheduler) forgetSentPlans() {
+	s.plannedAttempts = slices.DeleteFunc(s.plannedAttempts, func(attempt *fleet.Attempt) bool { return !isUnsentPlan(attempt) })
+}
+
+// isUnsentPlan reports whether an attempt is planned and has been neither sent nor cancelled.
+func isUnsentPlan(attempt *fleet.Attempt) bool {
+	return attempt.State() == fleet.Planned && attempt.Item != nil
+}
+
 // mayReassign reports whether an attempt planned for another machine may move to machine. A move
 // never makes the placement worse: it adds no image fetch that takes time, and replaces no on-demand
 // machine by a spot machine, no spot machine by an on-demand one of a type in short supply, and no
--- a/internal/scheduler/message_size_test.go
+++ b/internal/scheduler/message_size_test.go
@@ -184,6 +184,23 @@
 	}
 }
 
+// Guards against a list that kept every attempt that had ever started while machines were full: a leader of
+// a few full machines with short tasks gained megabytes a minute, until it went over its memory.
+func TestStartedAttemptsAreForgottenWhileMachinesAreFull(t *testing.T) {
+	w := newSmallTaskWorker(t, 50)
+	w.runTime = 2 * time.Second
+	array := w.addArray("j-000412", 10_000, 0.96)
+	for range 200 {
+		w.step()
+		if n, present := len(w.scheduler.plannedAttempts), len(w.machine.Attempts()); n > present {
+			t.Fatalf("%d attempts are kept as planned, %d are on the machine, %d tasks are done", n, present, array.doneCount)
+		}
+	}
+	if array.doneCount < 2000 {
+		t.Errorf("%d tasks are done, want 2000", array.doneCount)
+	}
+}
+
 // The messages stay within the limit for random jobs with long and short ids, results that are stored
 // late, cancellations of all jobs at once, and high terms, whose attempt numbers are long.
 func TestMessagesOfSmallTasksAreBounded(t *testing.T) {
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -18,6 +18,7 @@
 	}
 	s.reportSLO(now)
 	s.cancelStalePlans(now)
+	s.forgetSentPlans()
 	s.endBackoffs(now)
 	if s.drains.passDue(s.settings.HeartbeatInterval, now) {
 		s.runDrains(now)
