Confirm cancellations after the last answers of an ended leader

Cause: while no leader was known, a cancellation was confirmed at once, though an answer of the leader that had just ended could be on its way to a worker. A process that had not read the leader key yet counted as knowing that none led. A new leader waited for its own answers only.

Change: the confirmation waits for a sixteenth of a heartbeat interval, the time that an answer takes to its worker, from when no node leads and from the beginning of a term; if a node leads by then, it is notified. A process that does not know the leader yet withholds the confirmation. The duration has one place in config.

--- a/cmd/drumpick/daemon.go
+++ b/cmd/drumpick/daemon.go
@@ -118,7 +118,7 @@
 	}
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	d.election = election.New(d.store, cfg.Node, incarnation, timing.LeaderLease, cfg.Options.Watermarks)
-	d.api = api.New(cfg, d.store.ForUsers(), d.peers, d.election.Leader, d.leaderForAPI)
+	d.api = api.New(cfg, d.store.ForUsers(), d.peers, d.election, d.leaderForAPI)
 	d.operators = operator.New(cfg, d.store, d.peers, d.election.Leader, d.leaderForOperators, timing.HeartbeatInterval/2)
 	return d
 }
--- a/internal/api/confirmations.go
+++ b/internal/api/confirmations.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"drumpick/internal/config"
+	"drumpick/internal/ctxtime"
 	"drumpick/internal/peer"
 	"drumpick/internal/records"
 
@@ -85,18 +87,18 @@
 }
 
 // notifyLeader notifies the leader of a cancellation and reports whether the leader acknowledges it.
-// The result is true if no leader is known, because the next leader reads the store after its
-// election. It is false while this controller is elected but does not lead yet, and once ctx has ended.
+// See awaitLastAnswers if no leader is known. The result is false while this controller is elected but
+// does not lead yet, and once ctx has ended.
 func (s *Server) notifyLeader(ctx context.Context, id string) bool {
 	if l := s.localLeader(); l != nil {
 		return l.NotifyCancelled(ctx, id)
 	}
-	node := s.leaderNode()
-	if node == "" {
-		return true
-	}
-	if node == s.cfg.Node || ctx.Err() != nil {
+	node := s.election.Leader()
+	switch {
+	case node == s.cfg.Node, ctx.Err() != nil:
 		return false
+	case node == "":
+		return s.awaitLastAnswers(ctx, id)
 	}
 	leaderNotifications.Inc()
 	acknowledged, err := s.peers.NotifyCancelled(node, id)
@@ -104,6 +106,23 @@
 	return err == nil && acknowledged || errors.Is(err, peer.ErrUnsupported)
 }
 
+// awaitLastAnswers reports whether a cancellation may be confirmed while no leader is known. The next
+// leader reads the store after its election, but answers of a leader that has just ended may still be on
+// their way to workers, so it first waits for these. If a node leads by then, the node is notified. The
+// result is false if this process has not read yet which node leads.
+func (s *Server) awaitLastAnswers(ctx context.Context, id string) bool {
+	if !s.election.KnowsLeader() {
+		return false
+	}
+	if ctxtime.Sleep(ctx, config.AnswerDelivery(s.cfg.HeartbeatInterval())) != nil {
+		return false
+	}
+	if s.localLeader() != nil || s.election.Leader() != "" {
+		return s.notifyLeader(ctx, id)
+	}
+	return true
+}
+
 // HandleCancellation handles a peer's notification that a job is cancelled. It returns true if this
 // controller leads and dispatches none of the job's tasks from then on, and false if the id is invalid
 // or that is not reached within requestTimeout.
--- a/internal/api/confirmations_test.go
+++ b/internal/api/confirmations_test.go
@@ -51,17 +51,18 @@
 func TestCancellationIsReportedOnceLeaderKnows(t *testing.T) {
 	unsupported := unsupportedError(t)
 	for name, x := range map[string]struct {
-		leader         string
+		election       fixedElection
 		peers          cancellationPeers
 		confirmedAfter time.Duration // from the submission to the confirmation
 		notifications  int           // calls of NotifyCancelled
 	}{
-		"leader acknowledges":              {"n-1", cancellationPeers{acknowledged: true}, 0, 1},
-		"no leader known":                  {"", cancellationPeers{}, 0, 0},
-		"leader does not support the call": {"n-1", cancellationPeers{err: unsupported}, 0, 1},
-		"leader does not acknowledge":      {"n-1", cancellationPeers{}, 5 * time.Second, 15},
-		"leader unreachable":               {"n-1", cancellationPeers{err: errors.New("no answer")}, 5 * time.Second, 15},
-		"elected but not leading yet":      {"n-0", cancellationPeers{}, 5 * time.Second, 0},
+		"leader acknowledges":              {fixedElection{node: "n-1"}, cancellationPeers{acknowledged: true}, 0, 1},
+		"no leader known":                  {fixedElection{node: ""}, cancellationPeers{}, 0, 0},
+		"leader not read yet":              {fixedElection{unread: true}, cancellationPeers{}, 5 * time.Second, 0},
+		"leader does not support the call": {fixedElection{node: "n-1"}, cancellationPeers{err: unsupported}, 0, 1},
+		"leader does not acknowledge":      {fixedElection{node: "n-1"}, cancellationPeers{}, 5 * time.Second, 15},
+		"leader unreachable":               {fixedElection{node: "n-1"}, cancellationPeers{err: errors.New("no answer")}, 5 * time.Second, 15},
+		"elected but not leading yet":      {fixedElection{node: "n-0"}, cancellationPeers{}, 5 * time.Second, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -71,7 +72,7 @@
 				cfg.Deployment.Store.RPS = 100
 				cfg.Deployment.Teams = []config.Team{{Name: "vision"}}
 				peers := x.peers
-				s := api.New(cfg, simulation.NewStore().Client("n-0"), &peers, func() string { return x.leader }, func() api.Leader { return nil })
+				s := api.New(cfg, simulation.NewStore().Client("n-0"), &peers, x.election, func() api.Leader { return nil })
 				s.SetMachineTypes([]records.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Zones: []string{"a"}}})
 				requests := []peer.RelayRequest{
 					{Method: peer.MethodCancel, ID: "j-1"},
@@ -101,3 +102,53 @@
 		})
 	}
 }
+
+// While no node leads, a cancellation is confirmed only after the time that an answer takes to its worker: a
+// leader that has just ended may have sent one that starts a task of the job. If a node leads by then, it is
+// notified.
+func TestCancellationAwaitsLastAnswersOfEndedLeader(t *testing.T) {
+	for name, x := range map[string]struct {
+		electedAfter time.Duration // 0: no node is elected
+		want         int           // calls of NotifyCancelled
+	}{"no election": {0, 0}, "an election meanwhile": {50 * time.Millisecond, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cfg := &config.Config{Node: "n-0"}
+				cfg.Options.LeaderLeaseIntervals = 2
+				cfg.Deployment.Workers.HeartbeatS = 2
+				cfg.Deployment.Store.RPS = 100
+				cfg.Deployment.Teams = []config.Team{{Name: "vision"}}
+				peers := cancellationPeers{acknowledged: true}
+				elected := &laterElection{after: time.Now().Add(x.electedAfter), enabled: x.electedAfter > 0}
+				s := api.New(cfg, simulation.NewStore().Client("n-0"), &peers, elected, func() api.Leader { return nil })
+				s.SetMachineTypes([]records.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Zones: []string{"a"}}})
+				if reply := s.HandleRequest(peer.RelayRequest{Method: peer.MethodSubmit, Body: []byte(validJob)}); reply.Status != 201 {
+					t.Fatalf("submission: status %d, want 201", reply.Status)
+				}
+				start := time.Now()
+				reply := s.HandleRequest(peer.RelayRequest{Method: peer.MethodCancel, ID: "j-1"})
+				if took := time.Since(start); reply.Status != 200 || took < config.AnswerDelivery(2*time.Second) {
+					t.Errorf("cancellation: status %d after %v, want 200 after %v", reply.Status, took, config.AnswerDelivery(2*time.Second))
+				}
+				if peers.calls != x.want {
+					t.Errorf("the leader was notified %d times, want %d", peers.calls, x.want)
+				}
+			})
+		})
+	}
+}
+
+// laterElection is an election that node n-1 wins at a time, if enabled.
+type laterElection struct {
+	after   time.Time
+	enabled bool
+}
+
+func (e *laterElection) Leader() string {
+	if e.enabled && !time.Now().Before(e.after) {
+		return "n-1"
+	}
+	return ""
+}
+
+func (e *laterElection) KnowsLeader() bool { return true }
--- a/internal/api/error_size_test.go
+++ b/internal/api/error_size_test.go
@@ -16,7 +16,7 @@
 // response: each byte of a quoted text may take several bytes.
 func TestErrorsAreBounded(t *testing.T) {
 	server := api.New(&config.Config{Node: "n-0"}, simulation.NewStore().Client("n-0"), unreachablePeers{},
-		func() string { return "n-0" }, func() api.Leader { return &goldenLeader{} })
+		fixedElection{node: "n-0"}, func() api.Leader { return &goldenLeader{} })
 	submit := func(body string) peer.RelayReply {
 		return server.HandleRequest(peer.RelayRequest{Method: peer.MethodSubmit, Body: []byte(body)})
 	}
--- a/internal/api/golden_test.go
+++ b/internal/api/golden_test.go
@@ -73,7 +73,7 @@
 	cfg.Deployment.Workers.HeartbeatS = 2
 	cfg.Deployment.Store.RPS = 1000
 	cfg.Deployment.Teams = []config.Team{{Name: "vision", LimitCPUs: 8, LimitGPUs: 8}}
-	s := api.New(cfg, store.Client("n-0"), peers, func() string { return leader }, local)
+	s := api.New(cfg, store.Client("n-0"), peers, fixedElection{node: leader}, local)
 	app := fiber.New(fiber.Config{BodyLimit: 64 << 10})
 	s.Mount(app)
 	return s, store, func(r *http.Request) (*http.Response, error) { return app.Test(r, -1) }
--- a/internal/api/heartbeat_outcome_test.go
+++ b/internal/api/heartbeat_outcome_test.go
@@ -19,7 +19,7 @@
 	} {
 		leader := &goldenLeader{outcome: outcome}
 		server := api.New(&config.Config{Node: "n-0"}, simulation.NewStore().Client("n-0"), unreachablePeers{},
-			func() string { return "n-0" }, func() api.Leader { return leader })
+			fixedElection{node: "n-0"}, func() api.Leader { return leader })
 		if got := server.HandleHeartbeat([]byte(`{"host":"m-1","stint":1}`)); got.Status != want {
 			t.Errorf("outcome %d: got status %d, want %d", outcome, got.Status, want)
 		}
--- a/internal/api/heartbeat_relay.go
+++ b/internal/api/heartbeat_relay.go
@@ -140,7 +140,7 @@
 func (s *Server) AnnounceRelay(ctx context.Context) {
 	interval := s.cfg.HeartbeatInterval()
 	for ctxtime.Sleep(ctx, interval/2) == nil {
-		node := s.leaderNode()
+		node := s.election.Leader()
 		if s.localLeader() != nil || node == s.cfg.Node || !s.relay.shouldAnnounce(node, time.Now()) {
 			continue
 		}
--- a/internal/api/heartbeats.go
+++ b/internal/api/heartbeats.go
@@ -27,7 +27,7 @@
 	if s.localLeader() != nil {
 		return s.handleHeartbeatAsLeader(body, s.cfg.Node)
 	}
-	node := s.leaderNode()
+	node := s.election.Leader()
 	if node == s.cfg.Node {
 		node = ""
 	}
--- a/internal/api/linearizability_test.go
+++ b/internal/api/linearizability_test.go
@@ -190,7 +190,7 @@
 		cfg.Deployment.Store.RPS, cfg.Deployment.Nodes = 20, 3 // few, so that polls share lists
 		cfg.Deployment.Teams = []config.Team{{Name: "vision"}}
 		store := &faultyStore{Client: cluster.store.Client(name), faults: cluster.faults, firstRead: map[string]*records.KeyValue{}}
-		s := api.New(cfg, store, clusterPeers{cluster: cluster, self: i}, func() string { return "n-0" }, func() api.Leader {
+		s := api.New(cfg, store, clusterPeers{cluster: cluster, self: i}, fixedElection{node: "n-0"}, func() api.Leader {
 			if i == 0 {
 				return cluster.faults.leader
 			}
--- a/internal/api/poll.go
+++ b/internal/api/poll.go
@@ -118,7 +118,7 @@
 				DependenciesClear: isClear, ClearAgeMS: age.Milliseconds(),
 			}
 		}
-	} else if node := s.leaderNode(); node != "" && node != s.cfg.Node {
+	} else if node := s.election.Leader(); node != "" && node != s.cfg.Node {
 		if p, err := s.peers.Progress(node, id); err == nil && p.Known {
 			return p
 		}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -76,13 +76,21 @@
 	NeedsRelay(heartbeat *fleet.Heartbeat) bool
 }
 
+// Election knows which node leads.
+type Election interface {
+	// Leader returns the name of the node that leads, "" if none does or it is unknown.
+	Leader() string
+	// KnowsLeader reports whether the leader key has been read: "" then means that no node leads.
+	KnowsLeader() bool
+}
+
 // Server handles the requests of users and workers. Each part of the state that changes has
 // its own type with its own lock, or is atomic.
 type Server struct {
 	cfg         *config.Config
 	store       Store
 	peers       Peers
-	leaderNode  func() string // returns the name of the node that leads, "" if unknown
+	election    Election
 	localLeader func() Leader // returns nil if this process does not lead
 	readLimiter *rate.Limiter // limits the reads of single jobs from the store by polls and dependencyWalker
 
@@ -103,14 +111,13 @@
 // the leader's lease. Polls beyond the limit share a list (shared_poll.go).
 const pollShare = 0.6
 
-// New returns a server. leaderNode returns the name of the node that leads, "" if unknown;
-// localLeader returns nil if this process does not lead.
-func New(cfg *config.Config, store Store, peers Peers, leaderNode func() string, localLeader func() Leader) *Server {
+// New returns a server. localLeader returns nil if this process does not lead.
+func New(cfg *config.Config, store Store, peers Peers, election Election, localLeader func() Leader) *Server {
 	pollRPS := cfg.Deployment.Store.Lowest().RPS * pollShare
 	confirmations := newPendingConfirmations(cfg.Timing().LeaderLease)
 	dependencies := newDependencyCache()
 	s := &Server{
-		cfg: cfg, store: store, peers: peers, leaderNode: leaderNode, localLeader: localLeader,
+		cfg: cfg, store: store, peers: peers, election: election, localLeader: localLeader,
 		readLimiter:   rate.NewLimiter(rate.Limit(pollRPS/float64(max(cfg.Deployment.Nodes, 1))), max(int(pollRPS), 1)),
 		jobs:          newJobCache(cancellation.NewLog(time.Now()), dependencies, confirmations),
 		dependencies:  dependencies,
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -28,6 +28,16 @@
  "vcpus":1.0,"gpus":0.0,"mem_gb":2.0,"build":"img","size_gb":1.0,"rigs":null,"site":null,"one_zone":false,
  "apart":false,"loaners":true,"guess_s":10.0,"snapshot_s":0.0,"flush_s":0.0,"due_s":null}`
 
+// fixedElection is an election with a fixed result. Without a node, no node leads or, if unread is set, the
+// leader key has not been read yet.
+type fixedElection struct {
+	node   string
+	unread bool
+}
+
+func (e fixedElection) Leader() string    { return e.node }
+func (e fixedElection) KnowsLeader() bool { return !e.unread }
+
 // A scenario sends requests to one server: "submit" with changes to a valid job, such as "-uid" (left
 // out) or "shots=0"; "raw BODY" (a submission); "GET /path"; "POST /path"; "checkin". Other events
 // change the conditions: "types" (machine types become known), "outage on" and "outage off" (of the
@@ -39,7 +49,7 @@
 		cfg.Deployment.Workers.HeartbeatS = 2
 		cfg.Deployment.Store.RPS = 100
 		cfg.Deployment.Teams = []config.Team{{Name: "vision", LimitCPUs: 8}}
-		s := api.New(cfg, store.Client("n-0"), unreachablePeers{}, func() string { return "n-1" }, func() api.Leader { return nil })
+		s := api.New(cfg, store.Client("n-0"), unreachablePeers{}, fixedElection{node: "n-1"}, func() api.Leader { return nil })
 		types := []records.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Zones: []string{"a"}}}
 		app := fiber.New(fiber.Config{BodyLimit: 64 << 10})
 		s.Mount(app)
@@ -119,7 +129,7 @@
 		cfg.Deployment.Nodes = 2
 		cfg.Deployment.Teams = []config.Team{{Name: "vision"}}
 		store := &countingStore{Client: simulation.NewStore().Client("n-0")}
-		s := api.New(cfg, store, unreachablePeers{}, func() string { return "" }, func() api.Leader { return nil })
+		s := api.New(cfg, store, unreachablePeers{}, fixedElection{node: ""}, func() api.Leader { return nil })
 		s.SetMachineTypes([]records.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Zones: []string{"a"}}})
 		status := make([]atomic.Int64, 600)
 		var wg sync.WaitGroup
@@ -176,7 +186,7 @@
 		}
 		simulatedStore.ImportEntries(stored)
 		store := &countingStore{Client: simulatedStore.Client("n-0")}
-		s := api.New(cfg, store, unreachablePeers{}, func() string { return "" }, func() api.Leader { return nil })
+		s := api.New(cfg, store, unreachablePeers{}, fixedElection{node: ""}, func() api.Leader { return nil })
 		var wg sync.WaitGroup
 		var answeredFirst atomic.Int64
 		for i, id := range ids {
@@ -227,7 +237,7 @@
 	cfg := &config.Config{Node: "n-0"}
 	cfg.Deployment.Store.RPS = 100
 	l := &acceptingLeader{}
-	s := api.New(cfg, simulation.NewStore().Client("n-0"), unreachablePeers{}, func() string { return "n-0" }, func() api.Leader { return l })
+	s := api.New(cfg, simulation.NewStore().Client("n-0"), unreachablePeers{}, fixedElection{node: "n-0"}, func() api.Leader { return l })
 	var tasks []string
 	for i := range 900 {
 		tasks = append(tasks, `{"shot":"j-000412/`+strconv.Itoa(i)+`","try":83886081,"status":"running"}`)
--- a/internal/config/timing.go
+++ b/internal/config/timing.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// answerDeliveryDivisor is the divisor of the heartbeat interval that gives AnswerDelivery.
+const answerDeliveryDivisor = 16
+
+// AnswerDelivery returns the time within which the answer to a heartbeat usually reaches its worker, also
+// if another controller relays it, for workers with the given heartbeat interval.
+func AnswerDelivery(heartbeatInterval time.Duration) time.Duration {
+	return heartbeatInterval / answerDeliveryDivisor
+}
+
 const (
 	// slowStoreCall is how long a call to the key-value store occasionally takes.
 	slowStoreCall = 300 * time.Millisecond
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -45,7 +45,8 @@
 	keepsWatermarks bool
 
 	mu               sync.Mutex         // guards the fields below
-	leader           string             // node that leads, as last known; "" if unknown
+	leader           string             // node that leads, as last known; "" if none or unknown
+	leaderRead       bool               // this process has read the leader key, so leader "" means that none led then
 	term             uint64             // this process's own term, 0 while it does not lead
 	confirmedUntil   time.Time          // until when the term's lease is certain to last; zero if term is 0
 	cancelTerm       context.CancelFunc // ends the term being served; nil while none is
@@ -73,7 +74,7 @@
 	}
 }
 
-// Leader returns the node that leads, or "" if unknown.
+// Leader returns the node that leads, or "" if none leads or it is unknown (see KnowsLeader).
 func (e *Election) Leader() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -103,7 +104,15 @@
 func (e *Election) setLeader(node string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leader = node
+	e.leader, e.leaderRead = node, true
+}
+
+// KnowsLeader reports whether this process has read the leader key since its start. Until then another
+// controller may lead although Leader returns "".
+func (e *Election) KnowsLeader() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaderRead
 }
 
 // Run follows the leader key and campaigns for it until ctx ends. It calls lead with each term won;
--- a/internal/leader/cancellations.go
+++ b/internal/leader/cancellations.go
@@ -5,22 +5,19 @@
 	"log/slog"
 	"time"
 
+	"drumpick/internal/config"
 	"drumpick/internal/ctxtime"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// inFlightDivisor is the divisor of the heartbeat interval that gives the time within which a
-// heartbeat response usually reaches its worker, also if another controller relays it.
-const inFlightDivisor = 16
-
 var jobsCancelledByPeers = metrics.NewCounter("drumpick_jobs_cancelled_by_word_total")
 
 // cancelledJobs are jobs that a controller has reported as cancelled before this leader's watch of
 // open jobs has: the watch may lag, or the store may not answer. The jobs are kept until the watch
 // has caught up. The lock of state guards the fields.
 type cancelledJobs struct {
-	deliveredBy    map[string]time.Time // by job id, when its last run command has reached the worker; zero: none in flight
+	deliveredBy    map[string]time.Time // by job id, when its last run command has reached the worker
 	lastReportedAt time.Time            // when a job was last reported as cancelled
 }
 
@@ -59,8 +56,8 @@
 }
 
 // cancelLocked closes a cancelled job. It returns the time by which the job's last run command in
-// flight has usually reached its worker, or the zero time if none was in flight. The caller must
-// hold the state's lock.
+// flight, of this term or the one before, has usually reached its worker. The caller must hold the
+// state's lock.
 func (t *term) cancelLocked(job string) (arrival time.Time) {
 	cancelled := &t.state.cancelled
 	cancelled.lastReportedAt = time.Now()
@@ -71,9 +68,12 @@
 	if cancelled.deliveredBy == nil {
 		cancelled.deliveredBy = map[string]time.Time{}
 	}
-	if dispatched := t.state.scheduler.LastDispatched(job); !dispatched.IsZero() {
-		arrival = dispatched.Add(t.settings.HeartbeatInterval / inFlightDivisor)
+	// Answers of the last leader may be in flight as well when this term begins.
+	dispatched := t.startedAt
+	if last := t.state.scheduler.LastDispatched(job); last.After(dispatched) {
+		dispatched = last
 	}
+	arrival = dispatched.Add(config.AnswerDelivery(t.settings.HeartbeatInterval))
 	cancelled.deliveredBy[job] = arrival
 	t.state.scheduler.CloseJob(job) // its closed record in the store decides about the jobs that depend on it
 	return arrival
--- a/internal/simulation/cluster_test.go
+++ b/internal/simulation/cluster_test.go
@@ -177,7 +177,7 @@
 	cfg := c.controllerConfig(i)
 	n.election = election.New(n.client, name, fmt.Sprint("start-", c.starts), c.leaderLease, cfg.Options.Watermarks)
 	peers := &peerNetwork{c, i}
-	n.server = api.New(cfg, n.client, peers, n.election.Leader, func() api.Leader {
+	n.server = api.New(cfg, n.client, peers, n.election, func() api.Leader {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if n.leader == nil {
