Check run commands again when a batch's answers have waited

Cause: the answers to the heartbeats of a relayed batch wait for the slowest of them, up to an eighth of a heartbeat interval for each of two commits. The leader counted from when an answer was built and confirmed a cancellation a sixteenth of an interval later; an answer with the job's run command left after that.

Change: once a batch is complete, its run commands are checked again under the lock. Those of jobs that are no longer open, or whose attempts are being stopped, are withdrawn, and all if the term may have ended; the others count as sent then.

--- a/internal/api/heartbeats.go
+++ b/internal/api/heartbeats.go
@@ -54,39 +54,61 @@
 	return s.handleHeartbeatAsLeader(request.Body, "")
 }
 
-// handleHeartbeatAsLeader handles a heartbeat as the leader. via is the controller that received the
-// heartbeat from the worker; "" stands for a controller that relays heartbeats singly, which it may do
-// only for workers that cannot reach the leader.
+// handleHeartbeatAsLeader handles a heartbeat as the leader and encodes the reply, which the caller must
+// send at once. via is as for decideHeartbeat.
 func (s *Server) handleHeartbeatAsLeader(body []byte, via string) peer.RelayReply {
+	return s.decideHeartbeat(body, via).encode()
+}
+
+// heartbeatDecision is the leader's decision about a heartbeat: its result, unless another reply replaces
+// it.
+type heartbeatDecision struct {
+	result *fleet.HeartbeatResult
+	reply  peer.RelayReply // if result is nil
+}
+
+// encode returns the reply with the decision.
+func (d heartbeatDecision) encode() peer.RelayReply {
+	if d.result == nil {
+		return d.reply
+	}
+	return encodeHeartbeatResult(*d.result)
+}
+
+// decideHeartbeat handles a heartbeat as the leader. via is the controller that received the heartbeat
+// from the worker; "" stands for a controller that relays heartbeats singly, which it may do only for
+// workers that cannot reach the leader.
+func (s *Server) decideHeartbeat(body []byte, via string) heartbeatDecision {
 	l := s.localLeader()
 	if l == nil {
-		return encodeJSON(fiber.StatusMisdirectedRequest, redirectBody{})
+		return heartbeatDecision{reply: encodeJSON(fiber.StatusMisdirectedRequest, redirectBody{})}
 	}
 	var heartbeat fleet.Heartbeat
 	if err := jsoncodec.Unmarshal(body, &heartbeat); err != nil {
-		return encodeJSON(fiber.StatusBadRequest, newErrorBody("not a report: "+err.Error()))
+		return heartbeatDecision{reply: encodeJSON(fiber.StatusBadRequest, newErrorBody("not a report: "+err.Error()))}
 	}
 	if err := heartbeat.Validate(); err != nil {
-		return encodeJSON(fiber.StatusBadRequest, newErrorBody(err.Error()))
+		return heartbeatDecision{reply: encodeJSON(fiber.StatusBadRequest, newErrorBody(err.Error()))}
 	}
 	if via == "" && !l.NeedsRelay(&heartbeat) {
-		return encodeJSON(fiber.StatusMisdirectedRequest, redirectBody{})
+		return heartbeatDecision{reply: encodeJSON(fiber.StatusMisdirectedRequest, redirectBody{})}
 	}
 	// Without this check, a late copy of a heartbeat would redirect a worker that already sends its
 	// heartbeats through another controller.
 	recency := l.Recency(&heartbeat)
 	if recency == fleet.Late {
-		return encodeJSON(fiber.StatusServiceUnavailable, redirectBody{})
+		return heartbeatDecision{reply: encodeJSON(fiber.StatusServiceUnavailable, redirectBody{})}
 	}
 	heartbeat.Via = via
 	if recency == fleet.Current {
 		if node := s.routes.route(s.cfg, l, heartbeat.Machine, heartbeat.Zone, via, time.Now()); node != "" {
-			return encodeJSON(fiber.StatusMisdirectedRequest, redirectBody{Leader: node})
+			return heartbeatDecision{reply: encodeJSON(fiber.StatusMisdirectedRequest, redirectBody{Leader: node})}
 		}
 	}
 	// Recorded before the response, because the lease counts from when the worker sent the heartbeat.
 	s.lastWorkerRenewal.Store(time.Now())
-	return encodeHeartbeatResult(l.HandleHeartbeat(&heartbeat))
+	result := l.HandleHeartbeat(&heartbeat)
+	return heartbeatDecision{result: &result}
 }
 
 // encodeHeartbeatResult returns the reply for the leader's result, with the protocol's status code.
--- a/internal/api/relay_routes.go
+++ b/internal/api/relay_routes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"drumpick/internal/config"
+	"drumpick/internal/fleet"
 	"drumpick/internal/peer"
 	"drumpick/internal/recovery"
 	"drumpick/internal/routing"
@@ -64,22 +65,45 @@
 		return reply
 	}
 	start := time.Now()
-	if l := s.localLeader(); l != nil {
+	l := s.localLeader()
+	if l != nil {
 		s.routes.recordPeer(s.cfg, l, batch.From, batch.Zone, start)
 		l.ObserveDelay(time.Duration(batch.DelayMS) * time.Millisecond)
 	}
+	decisions := make([]heartbeatDecision, len(batch.Heartbeats))
 	var wg sync.WaitGroup
 	for i, body := range batch.Heartbeats {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			// A panic must not fail the batch's other heartbeats.
-			if !recovery.Call("relayed heartbeat", func() { reply.Replies[i] = s.handleHeartbeatAsLeader(body, batch.From) }) {
-				reply.Replies[i] = encodeJSON(fiber.StatusServiceUnavailable, redirectBody{})
+			if !recovery.Call("relayed heartbeat", func() { decisions[i] = s.decideHeartbeat(body, batch.From) }) {
+				decisions[i] = heartbeatDecision{reply: encodeJSON(fiber.StatusServiceUnavailable, redirectBody{})}
 			}
 		}()
 	}
 	wg.Wait()
+	recheckRuns(l, decisions)
+	for i := range decisions {
+		reply.Replies[i] = decisions[i].encode()
+	}
 	reply.ProcessingMS = time.Since(start).Milliseconds()
 	return reply
 }
+
+// recheckRuns withdraws the run commands of a batch whose jobs were cancelled while the batch waited for
+// its slowest heartbeat. Otherwise tasks could start after their job's cancellation was confirmed.
+func recheckRuns(l Leader, decisions []heartbeatDecision) {
+	if l == nil || len(decisions) < 2 {
+		return // a single response has not waited for others
+	}
+	var responses []*fleet.HeartbeatResponse
+	for _, decision := range decisions {
+		if decision.result != nil && len(decision.result.Response.Commands) > 0 {
+			responses = append(responses, &decision.result.Response)
+		}
+	}
+	if len(responses) > 0 {
+		l.RecheckRuns(responses)
+	}
+}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -64,6 +64,9 @@
 	DependenciesClear(id string) (age time.Duration, ok bool)
 	// HandleHeartbeat processes a heartbeat and returns the result for its worker.
 	HandleHeartbeat(heartbeat *fleet.Heartbeat) fleet.HeartbeatResult
+	// RecheckRuns removes from responses that waited after they were built the run commands that the
+	// leader would not give any more.
+	RecheckRuns(responses []*fleet.HeartbeatResponse)
 	// Recency returns how recent a heartbeat is compared with the known state of its machine.
 	Recency(heartbeat *fleet.Heartbeat) fleet.Recency
 	// NotifyCancelled closes a job whose cancellation is stored, and reports whether the leader
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -222,6 +222,7 @@
 func (l *acceptingLeader) Progress(string) (string, int, int, bool)       { return "", 0, 0, false }
 func (l *acceptingLeader) DependenciesClear(string) (time.Duration, bool) { return 0, false }
 func (l *acceptingLeader) ObserveDelay(time.Duration)                     {}
+func (l *acceptingLeader) RecheckRuns([]*fleet.HeartbeatResponse)         {}
 func (l *acceptingLeader) Recency(*fleet.Heartbeat) fleet.Recency         { return fleet.Current }
 func (l *acceptingLeader) NotifyCancelled(context.Context, string) bool   { return true }
 func (l *acceptingLeader) NeedsRelay(*fleet.Heartbeat) bool               { return true }
--- a/internal/leader/heartbeat.go
+++ b/internal/leader/heartbeat.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"drumpick/internal/fleet"
@@ -197,6 +198,21 @@
 	return !l.state.inconsistent && l.state.scheduler.IsLatestHeartbeat(machine, incarnation, sequence) && l.contact.mayRenewLeases(time.Now())
 }
 
+// RecheckRuns removes the run commands that may not be given any more from responses that waited after
+// they were built, because their jobs were cancelled or this term may have ended meanwhile. The others
+// count as sent now. Attempts whose commands are removed are withdrawn when the next heartbeat does not
+// list them.
+func (l *Leader) RecheckRuns(responses []*fleet.HeartbeatResponse) {
+	l.lock()
+	defer l.unlock()
+	mayStart := !l.closed.Load() && !l.state.inconsistent && l.mayStartTasks()
+	for _, response := range responses {
+		response.Commands = slices.DeleteFunc(response.Commands, func(command fleet.Command) bool {
+			return command.Verb == fleet.VerbRun && !(mayStart && l.state.scheduler.ConfirmRun(command, time.Now()))
+		})
+	}
+}
+
 // Recency returns the recency of a heartbeat relative to the latest status of its machine, and
 // records a late one of a known machine.
 func (l *Leader) Recency(heartbeat *fleet.Heartbeat) fleet.Recency {
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -196,6 +196,24 @@
 	return true
 }
 
+// ConfirmRun reports whether a run command that was built earlier may still be sent: its job is open, and
+// the attempt is the current one of its task and not being stopped. If so, it counts as sent now.
+func (s *Scheduler) ConfirmRun(command fleet.Command, now time.Time) bool {
+	id, ok := fleet.ParseTask(command.Task)
+	job := s.jobs[id.Job]
+	if !ok || job == nil {
+		return false
+	}
+	attempt := job.attempts[id.N]
+	if attempt == nil || attempt.Number != command.Attempt || attempt.Stopping() {
+		return false
+	}
+	if attempt.State() == fleet.Sent {
+		attempt.AssignedAt = now
+	}
+	return true
+}
+
 // mayDispatch checks the rules for job, task, machine, zone, quota and room again just before a run
 // command is sent, but not claims and held machines. present is that of the attempt's machine.
 func (s *Scheduler) mayDispatch(attempt *fleet.Attempt, present *presence, now time.Time) bool {
--- a/internal/scheduler/message_size_test.go
+++ b/internal/scheduler/message_size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -201,6 +202,38 @@
 	}
 }
 
+// A run command that waited after it was built is withdrawn if its job was cancelled or its attempt is being
+// stopped meanwhile, and otherwise counts as sent when it is confirmed.
+func TestConfirmRunWithdrawsCancelledJobs(t *testing.T) {
+	w := newSmallTaskWorker(t, 50)
+	for _, id := range []string{"j-1", "j-2", "j-3"} {
+		w.addArray(id, 1, 1)
+	}
+	for range 4 {
+		if len(w.tasks) == 0 {
+			w.step() // ends before the worker reports its tasks
+		}
+	}
+	later := w.now.Add(200 * time.Millisecond)
+	w.scheduler.CloseJob("j-1")
+	w.scheduler.requestStop(w.scheduler.jobs["j-2"].attempts[0], "test", 0, w.now)
+	confirmed := map[string]bool{}
+	for task, status := range w.tasks {
+		command := fleet.Command{Verb: fleet.VerbRun, Task: task, Attempt: status.Attempt}
+		confirmed[task] = w.scheduler.ConfirmRun(command, later)
+		command.Attempt++
+		if w.scheduler.ConfirmRun(command, later) {
+			t.Errorf("another attempt of %s is confirmed", task)
+		}
+	}
+	if want := map[string]bool{"j-1/0": false, "j-2/0": false, "j-3/0": true}; !maps.Equal(confirmed, want) {
+		t.Errorf("confirmed: %v, want %v", confirmed, want)
+	}
+	if sent := w.scheduler.LastDispatched("j-3"); !sent.Equal(later) {
+		t.Errorf("the run counts as sent at %v, want %v", sent, later)
+	}
+}
+
 // The messages stay within the limit for random jobs with long and short ids, results that are stored
 // late, cancellations of all jobs at once, and high terms, whose attempt numbers are long.
 func TestMessagesOfSmallTasksAreBounded(t *testing.T) {
