Ignore a worker's field that only has the name of one of ours

Cause: the project had added version, a text, to the workers' reports; another type made the report invalid.

Change: the version is an OptionalText, which counts any value but a short text as absent, said once in the log at debug. Its name is drumpick_version now; version is read as well while two versions run, and our stand-in workers send both.

--- a/internal/api/golden_test.go
+++ b/internal/api/golden_test.go
@@ -184,7 +184,7 @@
 // renamed field or path, or another status code, would break workers.
 func TestGoldenWorkers(t *testing.T) {
 	const heartbeat = `{"host":"m-000231","addr":"10.1.0.232:9000","rig":"g8","site":"a","loaners":true,"stint":1,"tick":88,"baton":41,` +
-		`"warning_s":12.5,"version":"1.0","shots":[{"shot":"j-412/3","try":2,"status":"ended","cause":"done","saved":true}]}`
+		`"warning_s":12.5,"drumpick_version":"1.0","version":"0.9","shots":[{"shot":"j-412/3","try":2,"status":"ended","cause":"done","saved":true}]}`
 	f := goldentest.Open(t, "golden-workers.json")
 	for name, x := range map[string]struct {
 		leader      string // "" if not known
--- a/internal/fleet/golden_test.go
+++ b/internal/fleet/golden_test.go
@@ -17,7 +17,7 @@
 	heartbeats := []goldentest.Case{
 		{Name: "report", Value: Heartbeat{
 			Machine: "m-000231", Addr: "10.1.0.232:9000", Type: "g8", Zone: "a", Spot: true, Incarnation: 1, Sequence: 88, FencingToken: 41,
-			PreemptionNoticeS: &noticeS, Version: "1.0",
+			PreemptionNoticeS: &noticeS, Version: "1.1", EarlierVersion: "1.0",
 			Tasks: []TaskStatus{{Task: "j-412/3", Attempt: 2, Status: Ended.String(), Cause: CauseDone, CheckpointSaved: true}},
 		}},
 		{Name: "task in a report", Value: TaskStatus{Task: "j-412/3", Attempt: 2, Status: Ended.String(), Cause: CauseDone, CheckpointSaved: true}},
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -44,7 +44,7 @@
 	if m.isNewIncarnation(hb, isHeartbeat, t.Term) {
 		out.forgetSent(m)
 	}
-	out.Upgraded = m.applyVersion(hb.Version, now)
+	out.Upgraded = m.applyVersion(hb.WorkerVersion(), now)
 	m.applyMachineStatus(hb, isHeartbeat, now)
 	out.Reconciled = m.reconcile(hb, isHeartbeat, t.Term)
 	m.statusCount++
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -30,14 +30,30 @@
 	Spot              bool         `json:"loaners"`
 	Incarnation       uint64       `json:"stint"`
 	Sequence          uint64       `json:"tick"`
-	FencingToken      uint64       `json:"baton"`             // the highest that the worker has accepted; 0: none
-	PreemptionNoticeS *float64     `json:"warning_s"`         // seconds until the cloud preempts the machine; nil: no notice
-	Version           string       `json:"version,omitempty"` // of the worker; optional
+	FencingToken      uint64       `json:"baton"`     // the highest that the worker has accepted; 0: none
+	PreemptionNoticeS *float64     `json:"warning_s"` // seconds until the cloud preempts the machine; nil: no notice
 	Tasks             []TaskStatus `json:"shots"`
+	// Version and EarlierVersion are the version of the worker. They are no fields of the protocol;
+	// EarlierVersion has the name that earlier controllers read.
+	Version        OptionalText `json:"drumpick_version,omitempty"`
+	EarlierVersion OptionalText `json:"version,omitempty"`
 	// Via is the controller that the worker sent it to; "": unknown.
 	Via string `json:"-"`
 }
 
+// SetWorkerVersion sets the version of the worker, also for earlier controllers.
+func (h *Heartbeat) SetWorkerVersion(version string) {
+	h.Version, h.EarlierVersion = OptionalText(version), OptionalText(version)
+}
+
+// WorkerVersion returns the version of the worker, "" if it is unknown.
+func (h *Heartbeat) WorkerVersion() string {
+	if h.Version != "" {
+		return string(h.Version)
+	}
+	return string(h.EarlierVersion)
+}
+
 // Validate returns an error that names the first missing or invalid field. A status with one invalid
 // part must be rejected as a whole: attempts that it fails to list would be considered lost.
 func (h *Heartbeat) Validate() error {
--- a/internal/fleet/wire_easyjson.go
+++ b/internal/fleet/wire_easyjson.go
@@ -282,12 +282,6 @@
 					*out.PreemptionNoticeS = float64(in.Float64())
 				}
 			}
-		case "version":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Version = string(in.String())
-			}
 		case "shots":
 			if in.IsNull() {
 				in.Skip()
@@ -315,6 +309,18 @@
 				}
 				in.Delim(']')
 			}
+		case "drumpick_version":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Version).UnmarshalEasyJSON(in)
+			}
+		case "version":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.EarlierVersion).UnmarshalEasyJSON(in)
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -378,11 +384,6 @@
 			out.Float64(float64(*in.PreemptionNoticeS))
 		}
 	}
-	if in.Version != "" {
-		const prefix string = ",\"version\":"
-		out.RawString(prefix)
-		out.String(string(in.Version))
-	}
 	{
 		const prefix string = ",\"shots\":"
 		out.RawString(prefix)
@@ -399,6 +400,16 @@
 			out.RawByte(']')
 		}
 	}
+	if in.Version != "" {
+		const prefix string = ",\"drumpick_version\":"
+		out.RawString(prefix)
+		out.String(string(in.Version))
+	}
+	if in.EarlierVersion != "" {
+		const prefix string = ",\"version\":"
+		out.RawString(prefix)
+		out.String(string(in.EarlierVersion))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/jsoncodec/encode.go
+++ b/internal/jsoncodec/encode.go
@@ -4,7 +4,7 @@
 //   - A name matches a field only if it is equal to the field's name. A name in other case is a field that
 //     is not known, and ignored. (encoding/json would assign its value to the field.)
 //   - If a name occurs more than once in an object, the last occurrence counts. It replaces the others
-//     entirely, also if the values are objects.
+//     entirely, also if the values are objects. (The generated decoders take a null for an absent member.)
 //
 // The linter forbids encoding/json in other packages.
 package jsoncodec
--- a/internal/localcluster/drain_test.go
+++ b/internal/localcluster/drain_test.go
@@ -296,8 +296,8 @@
 		return err == nil && v.State != nil && v.State.Phase == "done"
 	})
 	for _, m := range tc.cluster.Environment.Machines() {
-		if r, err := m.Status(); err == nil && r.Version != "2.0" {
-			t.Errorf("%s has version %s", m.Name, r.Version)
+		if r, err := m.Status(); err == nil && r.WorkerVersion() != "2.0" {
+			t.Errorf("%s has version %s", m.Name, r.WorkerVersion())
 		}
 	}
 	tc.checkResponses()
--- a/internal/scheduler/arbitrary_heartbeats_test.go
+++ b/internal/scheduler/arbitrary_heartbeats_test.go
@@ -81,7 +81,7 @@
 		Machine: arbitraryMachine(t), Addr: "a", Type: rapid.SampledFrom([]string{"c4", "other"}).Draw(t, "type"),
 		Zone: rapid.SampledFrom([]string{"a", "b", "other"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot"),
 		Incarnation: rapid.SampledFrom([]uint64{1, 2, math.MaxUint64}).Draw(t, "incarnation"), Sequence: rapid.Uint64Range(0, 200).Draw(t, "sequence"),
-		FencingToken: rapid.SampledFrom([]uint64{0, 4, 5}).Draw(t, "token"), Version: rapid.SampledFrom([]string{"", "1", "2"}).Draw(t, "version"),
+		FencingToken: rapid.SampledFrom([]uint64{0, 4, 5}).Draw(t, "token"), Version: fleet.OptionalText(rapid.SampledFrom([]string{"", "1", "2"}).Draw(t, "version")),
 	}
 	if rapid.IntRange(0, 5).Draw(t, "notice") == 0 {
 		seconds := rapid.SampledFrom([]float64{0, -1, 30, 1e300, math.MaxFloat64}).Draw(t, "notice seconds")
--- a/internal/scheduler/scenario_workers_test.go
+++ b/internal/scheduler/scenario_workers_test.go
@@ -63,7 +63,7 @@
 	name, a := in.words[0], in.args
 	h := &fleet.Heartbeat{
 		Machine: name, Addr: name + ":1", Type: textOrDefault(a["type"], "c4"), Zone: textOrDefault(a["zone"], "a"), Spot: a["spot"] != "",
-		Version: a["version"], Incarnation: uint64(r.parseNumber(a["incarnation"], 1)),
+		Version: fleet.OptionalText(a["version"]), Incarnation: uint64(r.parseNumber(a["incarnation"], 1)),
 		FencingToken: uint64(r.parseNumber(a["token"], float64(r.term))), Via: a["via"],
 	}
 	if notice := a["preemption_notice"]; notice != "" {
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -196,8 +196,9 @@
 	m.sequence++
 	r := &fleet.Heartbeat{
 		Machine: m.Name, Addr: m.addr, Type: m.typ.Name, Zone: m.Zone, Spot: m.Spot,
-		Incarnation: m.incarnation, Sequence: m.sequence, FencingToken: m.fencingToken, Version: m.Version,
+		Incarnation: m.incarnation, Sequence: m.sequence, FencingToken: m.fencingToken,
 	}
+	r.SetWorkerVersion(m.Version)
 	if !m.preemptionAt.IsZero() {
 		left := time.Until(m.preemptionAt).Seconds()
 		r.PreemptionNoticeS = &left
--- a/internal/workers/golden_test.go
+++ b/internal/workers/golden_test.go
@@ -20,10 +20,10 @@
 		{Verb: fleet.VerbReap, Task: "j-1/1", Attempt: 3},
 	}}
 	const text = `{"host":"m-1","addr":"10.1.0.232:9000","rig":"g8","site":"a","loaners":true,"stint":1,"tick":9,"baton":41,` +
-		`"warning_s":12.5,"version":"1.0","shots":[{"shot":"j-1/0","try":2,"status":"ended","cause":"stopped","saved":true}]}`
+		`"warning_s":12.5,"drumpick_version":"1.0","version":"0.9","shots":[{"shot":"j-1/0","try":2,"status":"ended","cause":"stopped","saved":true}]}`
 	want := fleet.Heartbeat{
 		Machine: "m-1", Addr: "10.1.0.232:9000", Type: "g8", Zone: "a", Spot: true,
-		Incarnation: 1, Sequence: 9, FencingToken: 41, PreemptionNoticeS: &noticeS, Version: "1.0",
+		Incarnation: 1, Sequence: 9, FencingToken: 41, PreemptionNoticeS: &noticeS, Version: "1.0", EarlierVersion: "0.9",
 		Tasks: []fleet.TaskStatus{{Task: "j-1/0", Attempt: 2, Status: "ended", Cause: fleet.CauseStopped, CheckpointSaved: true}},
 	}
 	f := goldentest.Open(t, "golden-orders.json")
