Choose preemption's victims in one pass over a machine's tasks

Cause: for each place all machines were examined, for each victim all attempts of the machine, each against all victims so far.

Change: a machine's preemptible attempts are sorted once by lost work and kept between places; victims are taken in one pass, as a team's excess only falls meanwhile. A heap orders the machines. The claims of a job on one machine check the machine's attempts once.

--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -12,6 +12,7 @@
 	"drumpick/internal/config"
 	"drumpick/internal/fleet"
 	"drumpick/internal/jsoncodec"
+	"drumpick/internal/quota"
 	"drumpick/internal/records"
 )
 
@@ -282,6 +283,46 @@
 	}
 }
 
+// BenchmarkPreemptTinyTasks measures a pass of preemption for urgent gangs on 24 machines that run 700 tiny
+// tasks each.
+func BenchmarkPreemptTinyTasks(b *testing.B) {
+	for _, gangs := range []struct{ count, tasks int }{{1, 100_000}, {8, 2000}, {8, 40}} {
+		b.Run(fmt.Sprintf("gangs=%d/tasks=%d", gangs.count, gangs.tasks), func(b *testing.B) {
+			slog.SetDefault(slog.New(slog.DiscardHandler))
+			s, now := newLimitsScheduler([]records.MachineType{{Name: "c4", CPUs: 4, MemGB: 16, Price: 0.2, StartupS: 20}})
+			tiny := records.Job{ID: "j-1", Team: "team", Shape: records.ShapeArray, Priority: records.PriorityLow, Tasks: 100_000, CPUs: 0.005, EstimateS: 1000}
+			s.AddJob(tiny, 10, now, now)
+			for i := range 24 {
+				h := &fleet.Heartbeat{Machine: fmt.Sprintf("m-%06d", i), Addr: "a:1", Type: "c4", Zone: "a", Incarnation: 1, FencingToken: 5}
+				for sequence := range uint64(2) {
+					h.Sequence = sequence + 1
+					machine, _ := s.Reconcile(h, true, now)
+					machine.Recorded = true
+					s.PlanMachine(machine, now)
+					applyCommands(h, s.Respond(machine, true, now).Commands)
+				}
+				h.Sequence++
+				s.Reconcile(h, true, now)
+			}
+			for i := range gangs.count {
+				id := fmt.Sprint("j-9", i)
+				s.AddJob(records.Job{ID: id, Team: "team", Shape: records.ShapeGang, Priority: records.PriorityUrgent, Tasks: gangs.tasks, CPUs: 0.5, EstimateS: 100}, 10, now, now)
+			}
+			s.placeWaiting(now)
+			for b.Loop() {
+				search := newPreemptionSearch(s, now)
+				for _, job := range s.queue(now) {
+					if job.Shape == records.ShapeGang {
+						list := search.listCandidates(job, "")
+						search.choosePlaces(job, job.pending(), list, nil, map[string]quota.Amount{})
+					}
+				}
+			}
+			b.ReportMetric(float64(len(s.fleet.Sorted()[0].Attempts())), "tasks/machine")
+		})
+	}
+}
+
 // BenchmarkWire measures the cost of decoding a heartbeat and encoding its answer, for the heartbeats of
 // the benchmark's fleet and for one with 400 tasks.
 func BenchmarkWire(b *testing.B) {
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -184,8 +184,13 @@
 	if job.gangBroken {
 		return true
 	}
+	var checked *fleet.Machine // the claims on a machine mostly follow each other
 	for _, claimed := range job.claims {
-		if slices.ContainsFunc(claimed.machine.Attempts(), isStoppingOnMachine) {
+		if claimed.machine == checked {
+			continue
+		}
+		checked = claimed.machine
+		if slices.ContainsFunc(checked.Attempts(), isStoppingOnMachine) {
 			return true
 		}
 	}
--- a/internal/scheduler/preemption_search.go
+++ b/internal/scheduler/preemption_search.go
@@ -16,8 +16,8 @@
 type preemptionCandidate struct {
 	machine     *fleet.Machine
 	free        packing.Resources // unclaimed, including the room of victims
-	victims     []*fleet.Attempt  // attempts chosen to be stopped
-	nextVictims []*fleet.Attempt  // attempts to stop for one more task
+	possible    []possibleVictim  // attempts on the machine that may be stopped
+	nextVictims []*possibleVictim // of possible, to stop for one more task
 	loss        float64           // lost work of nextVictims, in the unit of lostWork
 	feasible    bool              // room for one more task can be freed
 	version     int               // preemptionSearch.versions of the machine when it was evaluated
@@ -114,7 +114,8 @@
 
 // evaluate evaluates a candidate for the current state of its machine.
 func (s *preemptionSearch) evaluate(j *Job, candidate *preemptionCandidate) {
-	candidate.free, candidate.victims, candidate.version = expectedRoom(candidate.machine), nil, s.versions[candidate.machine]
+	candidate.free, candidate.version = expectedRoom(candidate.machine), s.versions[candidate.machine]
+	candidate.possible = s.possibleVictims(candidate.machine)
 	s.chooseVictims(j, candidate, s.excess)
 	// Room that is free and unclaimed is left to placement. Only for a gang it is claimed, because the
 	// gang's places do not all become free at once.
@@ -128,23 +129,27 @@
 // counts the job's tasks by zone; nil if it has no zone constraint.
 func (s *preemptionSearch) choosePlaces(job *Job, n int, list []*preemptionCandidate, zones map[string]int,
 	excess map[string]quota.Amount) (chosen []preemptionChoice, missing int) {
-	for n > 0 {
-		best := s.cheapestCandidate(job, list, zones)
-		if best == nil {
-			break
+	queue := s.newCandidateQueue(job, list)
+	for n > 0 && queue.Len() > 0 {
+		best := queue.first()
+		if zones != nil && !job.zoneAllowed(best.machine.Zone, zones) {
+			queue.removeFirst() // a zone that is full or excluded stays so
+			continue
 		}
 		// The candidate may have been evaluated for an equivalent job, or before other choices.
 		previousLoss := best.loss
 		if s.chooseVictims(job, best, excess); !best.feasible || best.loss > previousLoss {
+			queue.updateFirst()
 			continue
 		}
-		choice := preemptionChoice{machine: best.machine, victims: best.nextVictims}
-		for _, attempt := range best.nextVictims {
-			best.free = best.free.Add(attempt.Item.Request)
-			victimJob := s.scheduler.jobOf(attempt)
+		choice := preemptionChoice{machine: best.machine}
+		for _, victim := range best.nextVictims {
+			victim.taken = true
+			choice.victims = append(choice.victims, victim.attempt)
+			best.free = best.free.Add(victim.attempt.Item.Request)
+			victimJob := s.scheduler.jobOf(victim.attempt)
 			excess[victimJob.Team] = excess[victimJob.Team].Sub(victimJob.taskQuota())
 		}
-		best.victims = append(best.victims, best.nextVictims...)
 		for n > 0 && best.free.Fits(job.request) && (zones == nil || job.zoneAllowed(best.machine.Zone, zones)) {
 			best.free = best.free.Sub(job.request)
 			choice.tasks++
@@ -155,28 +160,11 @@
 		}
 		chosen = append(chosen, choice)
 		s.chooseVictims(job, best, excess)
+		queue.updateFirst()
 	}
 	return chosen, n
 }
 
-// cheapestCandidate returns the feasible candidate with the least lost work in a zone that the job may
-// use, nil if there is none. It reevaluates candidates for whose machine a choice was applied.
-func (s *preemptionSearch) cheapestCandidate(job *Job, list []*preemptionCandidate, zones map[string]int) *preemptionCandidate {
-	var best *preemptionCandidate
-	for _, candidate := range list {
-		if candidate.version != s.versions[candidate.machine] {
-			s.evaluate(job, candidate)
-		}
-		if !candidate.feasible || best != nil && candidate.loss >= best.loss {
-			continue
-		}
-		if zones == nil || job.zoneAllowed(candidate.machine.Zone, zones) {
-			best = candidate
-		}
-	}
-	return best
-}
-
 // apply preempts the victims of the choices, claims the room for the job, and sets the teams' excess.
 func (s *preemptionSearch) apply(job *Job, chosen []preemptionChoice, excess map[string]quota.Amount) {
 	for _, choice := range chosen {
--- a/internal/scheduler/preemption_victims.go
+++ b/internal/scheduler/preemption_victims.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -10,58 +11,71 @@
 	"drumpick/internal/records"
 )
 
+// possibleVictim is an attempt that may be preempted by some job, with the work that is lost.
+type possibleVictim struct {
+	attempt *fleet.Attempt
+	loss    float64 // in the unit of lostWork
+	taken   bool    // chosen to be stopped
+}
+
+// possibleVictims returns the attempts on a machine that may be preempted by some job, those with the least
+// lost work first, and of equal ones in the machine's order.
+func (s *preemptionSearch) possibleVictims(machine *fleet.Machine) []possibleVictim {
+	var victims []possibleVictim
+	for _, attempt := range machine.Attempts() {
+		job := s.scheduler.jobOf(attempt)
+		if !isPreemptible(job, attempt) {
+			continue
+		}
+		if loss, ok := s.scheduler.lostWork(job, attempt, s.now); ok {
+			victims = append(victims, possibleVictim{attempt: attempt, loss: loss})
+		}
+	}
+	slices.SortStableFunc(victims, func(a, b possibleVictim) int { return cmp.Compare(a.loss, b.loss) })
+	return victims
+}
+
 // chooseVictims sets candidate.nextVictims, loss and feasible: which attempts to stop on the
 // machine for one more task of a job, those with the least lost work first. excess is the usage by
 // team beyond the guarantees; it is not changed.
 func (s *preemptionSearch) chooseVictims(job *Job, candidate *preemptionCandidate, excess map[string]quota.Amount) {
 	candidate.nextVictims, candidate.loss, candidate.feasible = nil, 0, true
 	free, excessAfter := candidate.free, excess
-	for !free.Fits(job.request) {
-		victim, loss := s.cheapestVictim(job, candidate, excessAfter)
-		if victim == nil {
+	// One pass suffices: the excess only falls, so an attempt that is passed over stays exempt.
+	for i := 0; !free.Fits(job.request); i++ {
+		if i == len(candidate.possible) {
 			candidate.nextVictims, candidate.loss, candidate.feasible = nil, 0, false
 			return
 		}
+		victim := &candidate.possible[i]
+		if victim.taken || !s.mayPreempt(job, victim.attempt, excessAfter) {
+			continue
+		}
 		if len(candidate.nextVictims) == 0 {
 			excessAfter = maps.Clone(excess)
 		}
-		victimJob := s.scheduler.jobOf(victim)
+		victimJob := s.scheduler.jobOf(victim.attempt)
 		excessAfter[victimJob.Team] = excessAfter[victimJob.Team].Sub(victimJob.taskQuota())
 		candidate.nextVictims = append(candidate.nextVictims, victim)
-		free = free.Add(victim.Item.Request)
-		candidate.loss += loss
+		free = free.Add(victim.attempt.Item.Request)
+		candidate.loss += victim.loss
 	}
 }
 
-// cheapestVictim returns the attempt on a candidate machine that may be preempted with the least lost
-// work, nil if there is none, and that lost work in the unit of lostWork.
-func (s *preemptionSearch) cheapestVictim(job *Job, candidate *preemptionCandidate, excess map[string]quota.Amount) (*fleet.Attempt, float64) {
-	var cheapest *fleet.Attempt
-	least := 0.0
-	for _, attempt := range candidate.machine.Attempts() {
-		if !s.mayPreempt(job, attempt, excess) || slices.Contains(candidate.victims, attempt) || slices.Contains(candidate.nextVictims, attempt) {
-			continue
-		}
-		loss, ok := s.scheduler.lostWork(s.scheduler.jobOf(attempt), attempt, s.now)
-		if ok && (cheapest == nil || loss < least) {
-			cheapest, least = attempt, loss
-		}
+// isPreemptible reports whether an attempt of a job may be preempted by some other job: only reported
+// attempts of unprotected arrays are.
+func isPreemptible(job *Job, attempt *fleet.Attempt) bool {
+	if attempt.Stopping() || !attempt.MayBePresent() || attempt.State() == fleet.Sent || attempt.Item == nil {
+		return false
 	}
-	return cheapest, least
+	return job != nil && job.Shape == records.ShapeArray && !job.protected
 }
 
-// mayPreempt reports whether an attempt may be preempted for a job: the attempt's job has a lower
-// priority, or its team exceeds the guarantee and the preempting job is protected by another team's
-// guarantee. Only reported attempts of unprotected arrays are preempted, and a task at most once for
-// each preempting job.
+// mayPreempt reports whether a preemptible attempt may be preempted for a job: the attempt's job has a
+// lower priority, or its team exceeds the guarantee and the preempting job is protected by another team's
+// guarantee. A task is preempted at most once for each preempting job.
 func (s *preemptionSearch) mayPreempt(job *Job, attempt *fleet.Attempt, excess map[string]quota.Amount) bool {
-	if attempt.Stopping() || !attempt.MayBePresent() || attempt.State() == fleet.Sent || attempt.Item == nil {
-		return false
-	}
 	victimJob := s.scheduler.jobOf(attempt)
-	if victimJob == nil || victimJob.Shape != records.ShapeArray || victimJob.protected {
-		return false
-	}
 	if _, before := job.preemptedTasks[attempt.Task]; before {
 		return false
 	}
