Compute a drain's window only when it may change

Change: a drain keeps whether it is in force and its deadline until the time at which either changes, which the window already returned, but for an hour at most, a new spec, or a clock that was set back.

A pass in which all windows change takes as long as before.

--- a/internal/scheduler/drain_pass.go
+++ b/internal/scheduler/drain_pass.go
@@ -43,7 +43,7 @@
 func (s *Scheduler) assignDrains(now time.Time) map[*fleet.Machine]*activeDrain {
 	selected := map[*fleet.Machine]*activeDrain{}
 	for _, d := range s.drains.list {
-		d.inForce, d.deadline, _ = d.spec.InForce(now)
+		d.updateInForce(now)
 		s.drains.anyInForce = s.drains.anyInForce || d.inForce && !d.state.Closed()
 		switch {
 		case !d.inForce:
--- a/internal/scheduler/drains.go
+++ b/internal/scheduler/drains.go
@@ -20,9 +20,25 @@
 	writtenAt    time.Time       // when the state was last submitted to the store
 	inForce      bool            // as of the last pass
 	deadline     time.Time       // when its machines must be empty, as of the last pass; zero: none
+	checkedAt    time.Time       // when inForce and deadline were computed; zero: not for this spec
+	changesAt    time.Time       // when either of them changes; zero: never
 	everCordoned map[string]bool // machines that it has cordoned, including removed ones
 }
 
+// maxCheckAge is how long at most the result of drain.Spec.InForce is used.
+const maxCheckAge = time.Hour
+
+// updateInForce updates inForce and deadline. It computes them again only when they may have changed: the
+// start of a window is sought in all periods of its rule, which takes milliseconds for some rules.
+func (d *activeDrain) updateInForce(now time.Time) {
+	age := now.Sub(d.checkedAt)
+	if !d.checkedAt.IsZero() && age >= 0 && age < maxCheckAge && (d.changesAt.IsZero() || now.Before(d.changesAt)) {
+		return
+	}
+	d.inForce, d.deadline, d.changesAt = d.spec.InForce(now)
+	d.checkedAt = now
+}
+
 // evictsTasks reports whether the drain evicts tasks from its machines.
 func (d *activeDrain) evictsTasks() bool { return d.spec.Kind != drain.KindCordon }
 
@@ -85,7 +101,7 @@
 		}
 		s.list = slices.Insert(s.list, i, d)
 	}
-	s.list[i].spec = spec
+	s.list[i].spec, s.list[i].checkedAt = spec, time.Time{}
 	s.requestPass()
 }
 
