Reserve a status of equal size for tasks of equal jobs

Cause: jobs whose tasks need the same resources form a placement class, and once one finds no room the others are not tried. The class is made of the request, which since holds the bytes of a task's status: by the length of the job's id and the digits of its number of tasks.

Change: the part of the status is that of the largest task number, in steps of 16 bytes; a machine holds a little fewer tiny tasks, and the bound on messages is as strict. Besides, an insertion that finds no room gives its item back, the forecast of a machine's room reuses its memory, and the size of a status and the presence on a machine are computed without allocations.

--- a/internal/fleet/message_size.go
+++ b/internal/fleet/message_size.go
@@ -1,7 +1,7 @@
 package fleet
 
 import (
-	"strconv"
+	"math"
 
 	"drumpick/internal/messagesize"
 	"drumpick/internal/packing"
@@ -26,6 +26,13 @@
 	return packing.Resources{CPU: t.CPUs, GPU: t.GPUs, Mem: t.MemGB, StatusBytes: maxTaskStatusBytes}
 }
 
+// statusBytesStep is the unit of the part of a status that is reserved for a task. Jobs whose tasks need
+// the same resources are placed as one class, which must not depend on the length of their ids.
+const statusBytesStep = 16
+
+// maxTaskIndex is the highest number of a task, by the protocol.
+const maxTaskIndex = 99_999
+
 // Request returns the resources that each task of a job takes of its machine. maxAttempt is the highest
 // number that its attempts may have.
 func Request(job *records.Job, maxAttempt uint64) packing.Resources {
@@ -33,15 +40,27 @@
 	if job.Shape == records.ShapeGang {
 		cause = CauseGangPeerLost
 	}
-	last := TaskID{Job: job.ID, N: job.Tasks - 1}
-	return packing.Resources{CPU: job.CPUs, GPU: job.GPUs, Mem: job.MemGB, StatusBytes: taskStatusBytes(last, maxAttempt, cause)}
+	bytes := taskStatusBytes(TaskID{Job: job.ID, N: maxTaskIndex}, maxAttempt, cause)
+	return packing.Resources{
+		CPU: job.CPUs, GPU: job.GPUs, Mem: job.MemGB,
+		StatusBytes: math.Ceil(bytes/statusBytesStep) * statusBytesStep,
+	}
 }
 
 // taskStatusBytes returns the largest encoded size of the status of an attempt with the given longest
 // cause of its end, with a separator.
 func taskStatusBytes(task TaskID, attempt uint64, cause string) float64 {
 	const fields = len(`{"shot":"","try":,"status":"ended","cause":"","saved":false},`)
-	return float64(fields + maxEncodedBytes(task.String()) + len(strconv.FormatUint(attempt, 10)) + len(cause))
+	return float64(fields + maxEncodedBytes(task.Job) + len("/") + decimalDigits(uint64(task.N)) + decimalDigits(attempt) + len(cause))
+}
+
+// decimalDigits returns the number of digits of a number.
+func decimalDigits(n uint64) int {
+	digits := 1
+	for ; n >= 10; n /= 10 {
+		digits++
+	}
+	return digits
 }
 
 // maxEscapedBytes is the largest number of bytes that a byte of a text takes in JSON.
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -155,7 +154,7 @@
 // closeCompleteJob picks a random job and, if it is complete, closes it and submits the next.
 func (f *benchFleet) closeCompleteJob() {
 	for id, job := range f.scheduler.jobs {
-		job.stored = slices.Clone(job.done)
+		job.stored = append(job.stored[:0], job.done...)
 		if job.doneCount == job.Tasks && !job.closing {
 			f.scheduler.ApplyClosedRecord(id, records.ClosedJob{Status: records.StatusDone, AtMS: f.now.UnixMilli()}, 20)
 			f.submit()
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -131,7 +131,7 @@
 		if !batch.HasRoom(run) {
 			return
 		}
-		if s.dispatch(machine, attempt, present, now) {
+		if s.dispatch(machine, attempt, &present, now) {
 			batch.TryAdd(run)
 			present.add(s.jobOf(attempt), attempt)
 		}
@@ -144,11 +144,11 @@
 type presence struct {
 	scheduler *Scheduler
 	resources packing.Resources       // of the machine that are taken
-	byZone    map[*Job]map[string]int // number of attempts by zone, of jobs with a zone constraint
+	byZone    map[*Job]map[string]int // number of attempts by zone, of jobs with a zone constraint; nil: none counted
 }
 
-func (s *Scheduler) presenceOn(machine *fleet.Machine) *presence {
-	p := &presence{scheduler: s, resources: machine.Bin.Occupied(), byZone: map[*Job]map[string]int{}}
+func (s *Scheduler) presenceOn(machine *fleet.Machine) presence {
+	p := presence{scheduler: s, resources: machine.Bin.Occupied()}
 	for _, attempt := range machine.Attempts() {
 		if attempt.MayBePresent() && attempt.Item != nil {
 			p.resources = p.resources.Add(attempt.Item.Request)
@@ -159,6 +159,9 @@
 
 // tasksByZone returns the number of a job's attempts by zone.
 func (p *presence) tasksByZone(job *Job) map[string]int {
+	if p.byZone == nil {
+		p.byZone = map[*Job]map[string]int{}
+	}
 	if p.byZone[job] == nil {
 		p.byZone[job] = p.scheduler.tasksByZone(job, false)
 	}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -156,7 +156,8 @@
 // moves that the insertion requires; the caller has to execute them.
 func (s *Scheduler) insertTask(in insertion, now time.Time) (*fleet.Machine, []packing.Move) {
 	job := in.job
-	item := &packing.Item{ID: job.ID, Request: job.request, PreferLabels: job.preferredLabels, RequireLabel: in.requiredLabel}
+	item := s.newItem(job)
+	item.RequireLabel = in.requiredLabel
 	if s.lastMachineHolder != nil && servedBefore(s.lastMachineHolder, job) {
 		item.ExcludeLabel = heldLabel
 	}
@@ -184,9 +185,22 @@
 		}
 		return machine, moves
 	}
+	s.spareItem = item
 	return nil, nil
 }
 
+// newItem returns an item for a task of a job. It reuses the item of an insertion that found no room, as
+// most do while work waits.
+func (s *Scheduler) newItem(job *Job) *packing.Item {
+	item := s.spareItem
+	if item == nil {
+		item = &packing.Item{}
+	}
+	s.spareItem = nil
+	*item = packing.Item{ID: job.ID, Request: job.request, PreferLabels: job.preferredLabels}
+	return item
+}
+
 // insertIntoType inserts an item into the bins of one machine type; the results are those of
 // packing.Space.Insert. After a recent shortage of on-demand machines of the type, tasks that may use
 // spot machines try spot machines first. Otherwise they would fill on-demand machines that gangs wait
--- a/internal/scheduler/room_forecast.go
+++ b/internal/scheduler/room_forecast.go
@@ -59,9 +59,10 @@
 }
 
 // expectedEnds returns the expected ends of the attempts on a machine, the soonest first. Attempts of
-// jobs that are not open count as ending at once.
+// jobs that are not open count as ending at once. The result is valid until the next call, which reuses
+// its memory: a tick examines every machine.
 func (s *Scheduler) expectedEnds(machine *fleet.Machine, now time.Time) []expectedEnd {
-	ends := make([]expectedEnd, 0, 16) // most machines run few tasks
+	ends := s.endsBuffer[:0]
 	for _, attempt := range machine.Attempts() {
 		if attempt.Item == nil {
 			continue
@@ -73,5 +74,6 @@
 		ends = append(ends, expectedEnd{seconds, attempt.Item.Request})
 	}
 	slices.SortFunc(ends, func(a, b expectedEnd) int { return cmp.Compare(a.seconds, b.seconds) })
+	s.endsBuffer = ends
 	return ends
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -46,6 +46,8 @@
 	placementStale   bool                       // something changed since the last placement pass
 	currentTurns     *turnIterator              // turns of the current placement pass; nil: none is running
 	plannedAttempts  []*fleet.Attempt           // in placement order; some may have been sent or cancelled since the last tick
+	endsBuffer       []expectedEnd              // memory of the last result of expectedEnds
+	spareItem        *packing.Item              // for the next insertion; nil: none
 	onDemandShortage *fairshare.ShortageTracker // shortage of on-demand machines for jobs that may not use spot machines
 	freedRoom        freedRoom                  // room freed by ending tasks, for preempt
 	lastRebalance    time.Time
