Match the keys of the settings exactly

Cause: the TOML decoder matches keys without regard to case.

Change: such keys, in any table, are removed before the settings are decoded. Files without them are decoded as before, with the positions of errors.

Evidence: TestParseIgnoresKeysInOtherCase, one key in each of eight tables, fails before and passes now.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -158,3 +159,31 @@
 		t.Error("a missing file: got no error, want one")
 	}
 }
+
+// A key that differs from a known one in case only is a key that is not known, and ignored, in every table.
+// The TOML decoder would take its value for the known key, or reject the file for its type.
+func TestParseIgnoresKeysInOtherCase(t *testing.T) {
+	want, err := Parse([]byte(validSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := validSettings
+	for known, added := range map[string]string{
+		`zone = "a"`:        `Zone = "b"`,
+		`peer_addr = `:      `PEER_ADDR = 7`,
+		`state = "10.2`:     `State = ["x"]`,
+		`time_bound_ms = 1`: `Nodes = "seven"`,
+		`name = "team"`:     `Name = "other"`,
+		`cancel_s = 32.0`:   `Cancel_s = 1.0`,
+		`txn_ops = 16`:      `TXN_OPS = 1`,
+		`ram_mb = 125.0`:    `Ram_mb = "much"`,
+	} {
+		if !strings.Contains(text, "\n"+known) {
+			t.Fatalf("the settings have no %s", known)
+		}
+		text = strings.Replace(text, "\n"+known, "\n"+added+"\n"+known, 1)
+	}
+	if got, err := Parse([]byte(text)); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("parsed as %+v, %v, want %+v", got, err, want)
+	}
+}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -25,7 +25,7 @@
 // Parse decodes and validates the text of a settings file. The options are the defaults.
 func Parse(raw []byte) (*Config, error) {
 	c := &Config{Options: DefaultOptions()}
-	if err := toml.Unmarshal(raw, c); err != nil {
+	if err := toml.Unmarshal(withExactKeys(raw), c); err != nil {
 		return nil, decodeError(err)
 	}
 	if err := c.validate(); err != nil {
