--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -77,7 +77,6 @@
 	for range heartbeats * machines {
 		f.heartbeat()
 	}
-	b.ResetTimer()
 	return f
 }
 
@@ -180,6 +179,18 @@
 	}
 }
 
+// BenchmarkFleetStart measures the start of a whole fleet: the first heartbeats of all machines, and the
+// placement of the jobs that wait on them.
+func BenchmarkFleetStart(b *testing.B) {
+	for _, machines := range []int{1264, 3792} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			for b.Loop() {
+				newSharedBenchFleet(b, machines, 1, 2, false)
+			}
+		})
+	}
+}
+
 // BenchmarkPlanning measures a heartbeat, the placement pass that follows if the heartbeat changed
 // anything, and the answer, by fleet size and number of teams.
 func BenchmarkPlanning(b *testing.B) {
