Relay a submission with dependencies as such when the store begins to fail

Evidence: TestSubmissionWithDependenciesIsRelayedAsSuch fails before (relayed as "submit") and passes now.

--- a/internal/api/requests.go
+++ b/internal/api/requests.go
@@ -31,28 +31,37 @@
 	}
 	_, failing, _ := s.store.Health()
 	servesPeer, peersAsked := s.peerStoreHealth.storeServesPeer()
-	if r.Method == peer.MethodSubmit && failing {
-		switch sub, err := parseSubmission(r.Body); {
-		case err != nil:
-			return s.handleWithin(r, requestTimeout())
-		case sub.job.Dependencies != nil:
-			r.Method = peer.MethodSubmitWithDependencies
-		}
-	}
 	if failing && servesPeer {
-		if reply, ok := s.peers.Relay(r, relayTimeout()); ok {
+		if reply, ok := s.relayRequest(r); ok {
 			return reply
 		}
 	}
 	reply := s.handleWithin(r, requestTimeout())
+	// The store may have begun to fail meanwhile.
 	if _, failing, _ = s.store.Health(); reply.Status == fiber.StatusServiceUnavailable && failing && !peersAsked {
-		if other, ok := s.peers.Relay(r, relayTimeout()); ok {
+		if other, ok := s.relayRequest(r); ok {
 			return other
 		}
 	}
 	return reply
 }
 
+// relayRequest relays a user's request to the peers, and returns false if none gives a final reply. A
+// submission with dependencies has a method of its own: a peer of a version without dependencies, which
+// would ignore them, rejects it. An invalid submission is not relayed.
+func (s *Server) relayRequest(r peer.RelayRequest) (peer.RelayReply, bool) {
+	if r.Method == peer.MethodSubmit {
+		sub, err := parseSubmission(r.Body)
+		if err != nil {
+			return peer.RelayReply{}, false
+		}
+		if sub.job.Dependencies != nil {
+			r.Method = peer.MethodSubmitWithDependencies
+		}
+	}
+	return s.peers.Relay(r, relayTimeout())
+}
+
 // HandleRelayedRequest handles a user's request that a peer relayed.
 func (s *Server) HandleRelayedRequest(r peer.RelayRequest) peer.RelayReply {
 	return s.handleWithin(r, relayTimeout())
