The idle check: dependents of a job cancelled after its last task do not wait

Cause: the check took any final state of a dependency for done. It asks for done now, which is the condition for a dependent to run; a job whose dependency is done is reported as before, which a new case shows, beside one for a dependency that was cancelled after its tasks.

--- a/internal/simulation/idle_check_test.go
+++ b/internal/simulation/idle_check_test.go
@@ -62,7 +62,8 @@
 		return ""
 	}
 	for _, dependency := range j.Dependencies {
-		if d, ok := env.LookupJob(dependency); !ok || len(env.completed[dependency]) < d.Tasks || env.finalStates[dependency].status == "" {
+		// A dependency may be cancelled after all of its tasks have completed: its dependents are then cancelled.
+		if d, ok := env.LookupJob(dependency); !ok || len(env.completed[dependency]) < d.Tasks || env.finalStates[dependency].status != records.StatusDone {
 			return ""
 		}
 	}
@@ -160,6 +161,7 @@
 		job    records.Job
 		busy   float64 // CPUs taken by another job on the only machine, in zone a
 		faulty bool
+		ended  string // final state of the other job, all of whose tasks have completed; "": it has not ended
 		want   int
 	}{
 		"waits":                 {job: records.Job{Tasks: 2, CPUs: 2, Spot: true}, want: 1},
@@ -171,7 +173,11 @@
 		"another zone":          {job: records.Job{Zone: &zone, Tasks: 2, CPUs: 2, Spot: true}},
 		"on-demand machines":    {job: records.Job{Tasks: 2, CPUs: 2}},
 		"waits for another":     {job: records.Job{Tasks: 2, CPUs: 2, Spot: true, Dependencies: []string{"j-0"}}},
-		"during a fault":        {job: records.Job{Tasks: 2, CPUs: 2, Spot: true}, faulty: true},
+		"the other is done":     {job: records.Job{Tasks: 2, CPUs: 2, Spot: true, Dependencies: []string{"j-0"}}, ended: records.StatusDone, want: 1},
+		"the other is cancelled after its tasks": {
+			job: records.Job{Tasks: 2, CPUs: 2, Spot: true, Dependencies: []string{"j-0"}}, ended: records.StatusCancelled,
+		},
+		"during a fault": {job: records.Job{Tasks: 2, CPUs: 2, Spot: true}, faulty: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -194,6 +200,10 @@
 					_, _, _ = env.SendCommands("m-000001", runCommand("j-0/0", 1))
 				}
 				env.CheckSubmission("j-1", 201, time.Now())
+				if x.ended != "" {
+					env.completed["j-0"] = map[string]bool{"j-0/0": true}
+					env.finalStates["j-0"] = finalState{x.ended, time.Now()}
+				}
 				idle := &idleCheck{env: env}
 				for s := range 100 {
 					idle.check(x.faulty)
