End the wait for a cordon once its machines are empty

Cause: a cordon stays in the phase draining while it is in force, and the wait ends in other phases only.

Change: the wait for a cordon ends in that phase with no machines left. Of other drains it does not: a leader that does not know all machines yet reports none.

--- a/cmd/drumpickctl/drains.go
+++ b/cmd/drumpickctl/drains.go
@@ -206,8 +206,7 @@
 	}
 }
 
-// waitDrain polls a drain until it is drained, done, stopped or rolled back, and prints its progress. It returns an
-// error if the drain was rolled back. A cordon reaches none of these phases until it is stopped.
+// waitDrain polls a drain until isDrainOver, and prints its progress. It returns an error if the drain was rolled back.
 func waitDrain(cmd *cobra.Command, c *client.Client, v client.DrainView) (client.DrainView, error) {
 	lastShown := ""
 	for {
@@ -220,13 +219,8 @@
 			lastShown = phase + left
 			fmt.Fprintf(cmd.ErrOrStderr(), "%s: %s machines left\n", phase, left)
 		}
-		if v.State != nil {
-			switch v.State.Phase {
-			case drain.PhaseDrained, drain.PhaseDone, drain.PhaseStopped:
-				return v, nil
-			case drain.PhaseRolledBack:
-				return v, &exitError{exitFailed, fmt.Errorf("drain %s was rolled back: %s", v.Drain.ID, v.State.Rollout.Reason)}
-			}
+		if over, err := isDrainOver(v); over {
+			return v, err
 		}
 		select {
 		case <-cmd.Context().Done():
@@ -236,6 +230,23 @@
 	}
 }
 
+// isDrainOver reports whether a drain has reached what waitDrain waits for, and returns an error if it failed. A cordon
+// stays in its phase while it is in force, so it is over once its machines are empty.
+func isDrainOver(v client.DrainView) (over bool, err error) {
+	if v.State == nil {
+		return false, nil
+	}
+	switch v.State.Phase {
+	case drain.PhaseDrained, drain.PhaseDone, drain.PhaseStopped:
+		return true, nil
+	case drain.PhaseRolledBack:
+		return true, &exitError{exitFailed, fmt.Errorf("drain %s was rolled back: %s", v.Drain.ID, v.State.Rollout.Reason)}
+	case drain.PhaseDraining:
+		return v.Drain.Kind == drain.KindCordon && v.State.MachinesLeft == 0, nil
+	}
+	return false, nil
+}
+
 // phaseOf returns a drain's phase and the number of machines left, "-" if unknown.
 func phaseOf(v client.DrainView) (phase, left string) {
 	switch {
