Keep a machine's tasks while it has a lease of the new term

Cause: after a failover, tasks that may be on machines that have not shown the new fencing token wait until all leases of earlier terms have expired. The new leader's answer to such a machine's first heartbeat renews its lease, and only the next heartbeat shows the token. Without that one, the proof about the earlier terms held while the lease of the new term went on, and its tasks were taken for lost.

Change: a machine that the new term has answered within a lease still awaits reconciliation, and the proof is tried again until it has reported, its lease has ended or it is gone.

TestEarlierLeasesExpireAfterLeaseOfThisTerm fails before (1 machine and 1 attempt lost during the lease).

--- a/internal/fleet/leases.go
+++ b/internal/fleet/leases.go
@@ -20,9 +20,13 @@
 // ExpireEarlierLeases records that all leases granted in earlier terms have expired: machines that
 // still await reconciliation have stopped their tasks. It returns the number of these machines and
 // the attempts that are lost.
-func (t *Table) ExpireEarlierLeases() (machines int, lost []*Attempt) {
+//
+// A machine whose heartbeat this term has answered has a lease of this term, also if none of its statuses
+// has shown the term's fencing token yet. While that lease lasts, the machine runs its tasks and still
+// awaits reconciliation; otherwise they would be started a second time elsewhere.
+func (t *Table) ExpireEarlierLeases(now time.Time) (machines int, lost []*Attempt) {
 	for _, m := range t.Sorted() {
-		if !m.AwaitsReconciliation() {
+		if !m.AwaitsReconciliation() || now.Sub(m.LeaseRenewedAt) <= t.Lease {
 			continue
 		}
 		machines++
--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -42,7 +42,26 @@
 	if all, unreconciled := table.CountInherited(); all != 2 || unreconciled != 1 || !table.HasUnreconciled() {
 		t.Errorf("%d of %d inherited machines are unreconciled, want 1 of 2", unreconciled, all)
 	}
-	if machines, _ := table.ExpireEarlierLeases(); machines != 1 || table.HasUnreconciled() {
+	if machines, _ := table.ExpireEarlierLeases(start.Add(2 * lease)); machines != 1 || table.HasUnreconciled() {
 		t.Errorf("%d machines had earlier leases expire, unreconciled machines left: %v; want 1 and false", machines, table.HasUnreconciled())
 	}
 }
+
+// A machine whose heartbeat this term has answered runs its tasks for as long as that lease lasts, also after
+// all leases of earlier terms have expired and although no status has shown this term's fencing token yet. Its
+// attempts were once taken for lost, and started a second time elsewhere.
+func TestEarlierLeasesExpireAfterLeaseOfThisTerm(t *testing.T) {
+	table := NewTable(term, lease, forecast.Params{Window: 1})
+	table.GetOrCreate("m-1", "m-1:9000", "c4", "a", false).Inherited = true
+	before := status(9, running(1))
+	before.FencingToken = term - 1
+	m := table.Apply(before, true, start).Machine
+	answeredAt := start.Add(time.Second)
+	m.MarkAnswered("controller-1", answeredAt)
+	if machines, lost := table.ExpireEarlierLeases(answeredAt.Add(lease)); machines != 0 || len(lost) != 0 || !table.HasUnreconciled() {
+		t.Errorf("%d machines expired and %d attempts are lost during the lease of this term, want none", machines, len(lost))
+	}
+	if machines, lost := table.ExpireEarlierLeases(answeredAt.Add(lease + time.Second)); machines != 1 || len(lost) != 1 || table.HasUnreconciled() {
+		t.Errorf("%d machines expired and %d attempts are lost after the lease of this term, want one of each", machines, len(lost))
+	}
+}
--- a/internal/leader/lease_expiry.go
+++ b/internal/leader/lease_expiry.go
@@ -18,7 +18,7 @@
 	attestor *attestor
 }
 
-// run returns once it has recorded that the leases have expired, all machines are reconciled or ctx
+// run returns once all machines are reconciled, which includes those whose leases have expired, or ctx
 // has ended, or if the possible renewers are not known. It queries the store only after the failover is complete,
 // so that the failover does not wait for the answer.
 func (e *leaseExpiry) run(ctx context.Context) {
@@ -39,11 +39,13 @@
 		if !watermark.LeasesExpired(renewers, e.sinceRenewals(ctx), lease) {
 			continue
 		}
+		// Machines with a lease of this term still await reconciliation: the loop continues for them.
 		machines := 0
 		e.withState(func() { machines = e.state.scheduler.ExpireEarlierLeases(time.Now()) })
-		slog.Info("earlier leases expired", "term", e.number, "machines", machines, "nodes", renewers)
-		e.persistSoon()
-		return
+		if machines > 0 {
+			slog.Info("earlier leases expired", "term", e.number, "machines", machines, "nodes", renewers)
+			e.persistSoon()
+		}
 	}
 }
 
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -221,7 +221,7 @@
 // ExpireEarlierLeases records that all leases granted by earlier terms have expired, and returns the
 // number of unreconciled machines whose tasks are thereby known to be gone.
 func (s *Scheduler) ExpireEarlierLeases(now time.Time) int {
-	n, lost := s.fleet.ExpireEarlierLeases()
+	n, lost := s.fleet.ExpireEarlierLeases(now)
 	for _, attempt := range lost {
 		s.handleLostAttempt(attempt, now)
 	}
