--- a/internal/goldentest/golden.go
+++ b/internal/goldentest/golden.go
@@ -187,8 +187,8 @@
 }
 
 // Run compares each case with its entry of a golden file, in its own subtest: the value must encode to exactly the
-// entry's bytes, and the entry must decode to the value, also with further JSON members (see CheckNames). A case's Direction can omit one of the two. A value with unset
-// fields is a test error unless AllowUnset is set. The entry
+// entry's bytes, and the entry must decode to the value, also with further JSON members (see CheckNames). A case's
+// Direction can omit one of the two. A value with unset fields is a test error unless AllowUnset is set. The entry
 // "NAME, zero" holds the zero value of a struct and shows which fields are omitted when empty; cases with AllowUnset
 // or ReadOnly have no such entry.
 func Run(t *testing.T, file string, c Codec, cases []Case) {
--- a/internal/goldentest/names.go
+++ b/internal/goldentest/names.go
@@ -20,7 +20,7 @@
 	typ := reflect.TypeOf(want)
 	for _, value := range otherValues {
 		for kind, added := range map[string]func(field, member string) string{
-			"another case":  func(field, member string) string { return member + `,"` + swapCase(field) + `":` + value },
+			"another case":  func(field, member string) string { return member + `,"` + capitalize(field) + `":` + value },
 			"a later field": func(_, member string) string { return member + `,"not a field":` + value },
 			"a doubled one": func(field, member string) string { return `"` + field + `":` + value + `,` + member },
 		} {
@@ -35,8 +35,8 @@
 	}
 }
 
-// swapCase returns a field's name with its first letter in upper case.
-func swapCase(name string) string { return strings.ToUpper(name[:1]) + name[1:] }
+// capitalize returns a field's name with its first letter in upper case.
+func capitalize(name string) string { return strings.ToUpper(name[:1]) + name[1:] }
 
 // addMembers returns a message with every member of an object that is decoded into a struct replaced by what added
 // returns for the field's name and the member. typ is the type that the message is decoded into.
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -108,7 +108,7 @@
 			}
 			zones[machine.Zone]++
 		}
-		item := &packing.Item{ID: job.ID, Request: job.request, PreferLabels: job.preferredLabels}
+		item := job.newItem()
 		machine.Bin.Add(item)
 		s.planAttempt(job, task, s.newAttemptNumber(), machine, item, now)
 		job.dequeueTask(task)
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		attempt.Machine.Forget(attempt)
-		item := &packing.Item{ID: job.ID, Request: job.request, PreferLabels: job.preferredLabels}
+		item := job.newItem()
 		machine.Bin.Add(item)
 		s.planAttempt(job, attempt.Task.N, attempt.Number, machine, item, now)
 	}
--- a/internal/scheduler/place_finder.go
+++ b/internal/scheduler/place_finder.go
@@ -88,7 +88,7 @@
 	if j.placementClass > 0 && p.noRoom[j.placementClass] {
 		return nil
 	}
-	item := &packing.Item{ID: j.ID, Request: j.request, PreferLabels: j.preferredLabels}
+	item := j.newItem()
 	allowed := func(b *packing.Bin) bool {
 		m := b.Owner.(*fleet.Machine)
 		return m.Cordon == nil && (p.alsoDraining == nil || !p.alsoDraining(m)) && j.permits(m.Type, m.Zone, m.Spot) &&
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -156,7 +156,7 @@
 // moves that the insertion requires; the caller has to execute them.
 func (s *Scheduler) insertTask(in insertion, now time.Time) (*fleet.Machine, []packing.Move) {
 	job := in.job
-	item := s.newItem(job)
+	item := s.takeItem(job)
 	item.RequireLabel = in.requiredLabel
 	if s.lastMachineHolder != nil && servedBefore(s.lastMachineHolder, job) {
 		item.ExcludeLabel = heldLabel
@@ -189,15 +189,20 @@
 	return nil, nil
 }
 
-// newItem returns an item for a task of a job. It reuses the item of an insertion that found no room, as
+// newItem returns an item for a task of the job.
+func (j *Job) newItem() *packing.Item {
+	return &packing.Item{ID: j.ID, Request: j.request, PreferLabels: j.preferredLabels}
+}
+
+// takeItem returns an item for a task of a job. It reuses the item of an insertion that found no room, as
 // most do while work waits.
-func (s *Scheduler) newItem(job *Job) *packing.Item {
+func (s *Scheduler) takeItem(job *Job) *packing.Item {
 	item := s.spareItem
 	if item == nil {
-		item = &packing.Item{}
+		return job.newItem()
 	}
 	s.spareItem = nil
-	*item = packing.Item{ID: job.ID, Request: job.request, PreferLabels: job.preferredLabels}
+	*item = *job.newItem() // inlined: no allocation
 	return item
 }
 
